--- /dev/null
+++ b/src/config/fleet_config.rs
@@ -0,0 +1,224 @@
+//! The configuration in force on a node, built from records and their deltas.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+
+use super::model::{FleetLimits, Model, Schedule, Server, Service, Workspace};
+use super::rules::{Rules, hash_key};
+use crate::findings::{Findings, Place};
+use crate::ids::{EndpointName, ModelName, Version, WorkspaceName};
+use crate::wire::ConfigRecord;
+
+/// A version of the configuration, indexed for use.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetConfig {
+    /// Version.
+    pub version: Version,
+    /// Servers by name.
+    pub servers: BTreeMap<EndpointName, Server>,
+    /// Workspaces by name.
+    pub workspaces: BTreeMap<WorkspaceName, Arc<Workspace>>,
+    /// Models by name.
+    pub models: BTreeMap<ModelName, Model>,
+    /// Services by name.
+    pub services: BTreeMap<SmolStr, Service>,
+    /// Schedules by name.
+    pub schedules: BTreeMap<SmolStr, Schedule>,
+    /// Hosts and endpoints that are told to drain.
+    pub draining: BTreeSet<SmolStr>,
+    /// Limits of the fleet.
+    pub limits: FleetLimits,
+    by_key: HashMap<String, WorkspaceName>,
+}
+
+impl FleetConfig {
+    /// Workspace of a bearer key.
+    pub fn workspace_of(&self, key: &str) -> Option<Arc<Workspace>> {
+        let name = self.by_key.get(&hash_key(key))?;
+        self.workspaces.get(name).cloned()
+    }
+
+    /// Whether an endpoint is told to leave: drained by name or host, or not in the inventory.
+    pub fn is_leaving(&self, endpoint: &str) -> bool {
+        match self.servers.get(endpoint) {
+            None => true,
+            Some(s) => self.draining.contains(endpoint) || self.draining.contains(&s.host),
+        }
+    }
+
+    /// Whether a call of a service may be repeated; undeclared calls may not.
+    pub fn is_idempotent(&self, service: &str, method: &str, path: &str) -> bool {
+        self.services
+            .get(service)
+            .is_some_and(|s| s.idempotent.iter().any(|p| p.fits(method, path)))
+    }
+
+    /// Applies records; returns the keys of records that could not be understood.
+    pub fn apply(&mut self, version: Version, full: bool, records: &[ConfigRecord]) -> Vec<String> {
+        if full {
+            *self = Self::default();
+        }
+        let mut unreadable = Vec::new();
+        for record in records {
+            if !self.apply_record(record) {
+                unreadable.push(record.key.clone());
+            }
+        }
+        self.version = version;
+        self.index_keys();
+        unreadable
+    }
+
+    fn apply_record(&mut self, record: &ConfigRecord) -> bool {
+        let Some((kind, name)) = record.key.split_once('/') else { return false };
+        let name = SmolStr::new(name);
+        let value = record.value.as_deref();
+        match kind {
+            "server" => set(&mut self.servers, name, value),
+            "model" => set(&mut self.models, name, value),
+            "service" => set(&mut self.services, name, value),
+            "schedule" => set(&mut self.schedules, name, value),
+            "workspace" => set(&mut self.workspaces, name, value),
+            "limits" => match value.map(serde_json::from_str) {
+                Some(Ok(limits)) => {
+                    self.limits = limits;
+                    true
+                }
+                _ => value.is_none(),
+            },
+            "drain" => {
+                match value {
+                    Some(_) => self.draining.insert(name),
+                    None => self.draining.remove(&name),
+                };
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn index_keys(&mut self) {
+        let pairs = self.workspaces.values();
+        let pairs = pairs.flat_map(|w| w.key_hashes.iter().map(|k| (k.clone(), w.name.clone())));
+        self.by_key = pairs.collect();
+    }
+}
+
+fn set<T: DeserializeOwned>(
+    map: &mut BTreeMap<SmolStr, T>,
+    name: SmolStr,
+    value: Option<&str>,
+) -> bool {
+    let Some(text) = value else {
+        map.remove(&name);
+        return true;
+    };
+    match serde_json::from_str(text) {
+        Ok(value) => {
+            map.insert(name, value);
+            true
+        }
+        Err(_) => false,
+    }
+}
+
+/// Reports what an inventory and rules need from each other.
+pub fn check_together(servers: &[Server], rules: &Rules, findings: &mut Findings) {
+    let models: BTreeSet<&SmolStr> = rules.models.iter().map(|m| &m.name).collect();
+    let services: BTreeSet<&SmolStr> = rules.services.iter().map(|s| &s.name).collect();
+    let names: BTreeSet<&SmolStr> = servers.iter().map(|s| &s.name).collect();
+    for server in servers {
+        let place = Place::Whole(format!("server {:?}", server.name));
+        for model in server.models.iter().filter(|m| !models.contains(m)) {
+            let text = format!("unknown model {model:?}; add [[model]] to the rules");
+            findings.add(place.clone(), text);
+        }
+        for service in server.services.iter().filter(|s| !services.contains(s)) {
+            let text = format!("unknown service {service:?}; add [[service]] to the rules");
+            findings.add(place.clone(), text);
+        }
+    }
+    check_regions(servers, findings);
+    for (schedule, place) in rules.schedules.iter().zip(&rules.schedule_places) {
+        for model in schedule.models.iter().filter(|m| !models.contains(m)) {
+            findings.add(place.clone(), format!("unknown model {model:?}"));
+        }
+        for server in schedule.servers.iter().filter(|s| !names.contains(s)) {
+            findings.add(place.clone(), format!("unknown server {server:?}"));
+        }
+    }
+}
+
+/// A zone lies in one region, and a host in one zone.
+fn check_regions(servers: &[Server], findings: &mut Findings) {
+    let mut regions: BTreeMap<&SmolStr, &SmolStr> = BTreeMap::new();
+    let mut zones: BTreeMap<&SmolStr, &SmolStr> = BTreeMap::new();
+    for server in servers {
+        let place = Place::Whole(format!("server {:?}", server.name));
+        let region = regions.entry(&server.zone).or_insert(&server.region);
+        if **region != server.region {
+            let text = format!("zone {:?} lies in region {region:?} elsewhere", server.zone);
+            findings.add(place.clone(), text);
+        }
+        let zone = zones.entry(&server.host).or_insert(&server.zone);
+        if **zone != server.zone {
+            let text = format!("host {:?} lies in zone {zone:?} elsewhere", server.host);
+            findings.add(place, text);
+        }
+    }
+}
+
+/// Records of an inventory and rules, by key.
+pub fn to_records(servers: &[Server], rules: &Rules) -> BTreeMap<String, String> {
+    let mut records = BTreeMap::new();
+    for server in servers {
+        put(&mut records, "server", &server.name, server);
+    }
+    for workspace in &rules.workspaces {
+        put(&mut records, "workspace", &workspace.name, workspace);
+    }
+    for model in &rules.models {
+        put(&mut records, "model", &model.name, model);
+    }
+    for service in &rules.services {
+        put(&mut records, "service", &service.name, service);
+    }
+    for schedule in &rules.schedules {
+        put(&mut records, "schedule", &schedule.name, schedule);
+    }
+    put(&mut records, "limits", "fleet", &rules.limits);
+    records
+}
+
+fn put<T: Serialize>(records: &mut BTreeMap<String, String>, kind: &str, name: &str, value: &T) {
+    let text = serde_json::to_string(value).unwrap_or_default();
+    records.insert(format!("{kind}/{name}"), text);
+}
+
+/// Records that differ from the current ones; drains are kept.
+pub fn diff_records(
+    current: &[ConfigRecord],
+    wanted: &BTreeMap<String, String>,
+) -> Vec<ConfigRecord> {
+    let held: BTreeMap<&str, &str> = current
+        .iter()
+        .filter_map(|r| Some((r.key.as_str(), r.value.as_deref()?)))
+        .collect();
+    let mut changes = Vec::new();
+    for (key, value) in wanted {
+        if held.get(key.as_str()) != Some(&value.as_str()) {
+            let value = Some(value.clone());
+            changes.push(ConfigRecord { key: key.clone(), version: 0, value });
+        }
+    }
+    for key in held.keys() {
+        if !key.starts_with("drain/") && !wanted.contains_key(*key) {
+            changes.push(ConfigRecord { key: (*key).to_owned(), version: 0, value: None });
+        }
+    }
+    changes
+}
--- /dev/null
+++ b/src/config/inventory.rs
@@ -0,0 +1,94 @@
+//! Reads an inventory: the servers, where they sit, and what they should carry.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use super::fields::Fields;
+use super::model::{Server, ServerKind};
+use super::{csv_file, toml_file};
+use crate::findings::{Findings, Place};
+
+/// Reads an inventory in TOML, or in CSV when the path ends so.
+pub fn read(path: &str, text: &str, findings: &mut Findings) -> Vec<Server> {
+    let records = if path.to_ascii_lowercase().ends_with(".csv") {
+        csv_file::read(path, text, findings)
+    } else {
+        let mut file = toml_file::read(path, text, findings);
+        let servers = file.records("server", findings);
+        file.refuse_rest(findings);
+        servers
+    };
+    let mut seen: BTreeMap<SmolStr, Place> = BTreeMap::new();
+    let mut servers = Vec::new();
+    for fields in records {
+        let place = fields.place_of("name");
+        let server = read_server(fields, findings);
+        if let Some(first) = seen.insert(server.name.clone(), place.clone()) {
+            findings.add(place, format!("server {:?} stands already at {first}", server.name));
+        }
+        servers.push(server);
+    }
+    servers
+}
+
+fn read_server(mut fields: Fields, findings: &mut Findings) -> Server {
+    let place = fields.place().clone();
+    let name = read_name(&mut fields, "name", findings);
+    let host = read_name(&mut fields, "host", findings);
+    let zone = read_name(&mut fields, "zone", findings);
+    let region = fields.text("region", findings).unwrap_or_default();
+    let kind = read_kind(&mut fields, findings);
+    let models = smol_list(fields.list("models", findings));
+    let services = smol_list(fields.list("services", findings));
+    let accelerators = fields.number("accelerators", 0..=1024, findings).unwrap_or(0);
+    let kv_tokens = fields.number("kv_tokens", 0..=1_000_000_000, findings).unwrap_or(0);
+    let checks_orders = fields.flag("checks_orders", findings).unwrap_or(false);
+    if kind == ServerKind::Engine && !services.is_empty() {
+        findings.add(place.clone(), "an engine answers for no services; set kind = \"service\"");
+    }
+    if kind == ServerKind::Service && services.is_empty() {
+        findings.add(place, "a service server needs services");
+    }
+    fields.refuse_rest(findings);
+    Server {
+        name,
+        host,
+        zone,
+        region: region.into(),
+        kind,
+        models,
+        services,
+        accelerators,
+        kv_tokens,
+        checks_orders,
+    }
+}
+
+/// Takes a name: letters, digits, dot, dash and underscore.
+pub(super) fn read_name(fields: &mut Fields, key: &str, findings: &mut Findings) -> SmolStr {
+    let place = fields.place_of(key);
+    let text = fields.required(key, findings);
+    let plain = |c: char| c.is_alphanumeric() || "._-:".contains(c);
+    if !text.is_empty() && (!text.chars().all(plain) || text.len() > 128) {
+        let wants = "letters, digits, dot, dash, colon and underscore, at most 128 bytes";
+        findings.add(place, format!("{key} = {text:?} is no name; use {wants}"));
+    }
+    text.into()
+}
+
+fn read_kind(fields: &mut Fields, findings: &mut Findings) -> ServerKind {
+    let place = fields.place_of("kind");
+    match fields.text("kind", findings).as_deref() {
+        None | Some("engine") => ServerKind::Engine,
+        Some("service") => ServerKind::Service,
+        Some(other) => {
+            findings.add(place, format!("kind = {other:?} is neither engine nor service"));
+            ServerKind::Engine
+        }
+    }
+}
+
+pub(super) fn smol_list(list: Vec<String>) -> Vec<SmolStr> {
+    list.into_iter().map(SmolStr::from).collect()
+}
--- /dev/null
+++ b/src/control/state.rs
@@ -0,0 +1,132 @@
+//! The replicated state of control: what committed commands add up to.
+
+use std::collections::{HashMap, VecDeque};
+
+use prost::Message;
+use smol_str::SmolStr;
+
+use super::burn_counts::BurnCounts;
+use super::claims::Claims;
+use super::config_records::ConfigRecords;
+use super::orders::Orders;
+use crate::ids::{Index, Term};
+use crate::wire::{
+    Command, Entry, Members, OperationState, Outcome, Replica, Snapshot, command,
+};
+
+/// Operations whose first answer is remembered.
+const MOST_OPERATIONS: usize = 10_000;
+
+/// State machine of the replicated log.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ControlState {
+    /// Index of the last applied entry.
+    pub applied: Index,
+    /// Term of the last applied entry.
+    pub applied_term: Term,
+    /// Committed replicas.
+    pub replicas: Vec<Replica>,
+    /// Accepted configuration.
+    pub config: ConfigRecords,
+    /// Claims of non-idempotent calls.
+    pub claims: Claims,
+    /// Orders to endpoints.
+    pub orders: Orders,
+    /// Service-level counts.
+    pub burn: BurnCounts,
+    operations: HashMap<SmolStr, OperationState>,
+    operation_order: VecDeque<SmolStr>,
+}
+
+impl ControlState {
+    /// Applies the next committed entry and returns its answer.
+    pub fn apply(&mut self, entry: Entry) -> Outcome {
+        debug_assert_eq!(entry.index, self.applied + 1);
+        self.applied = entry.index;
+        self.applied_term = entry.term;
+        let command = entry.command.unwrap_or_default();
+        let operation = SmolStr::new(&command.operation);
+        if let Some(first) = self.operations.get(&operation) {
+            return first.outcome.clone().unwrap_or_default();
+        }
+        let wall_ms = command.wall_ms;
+        let outcome = self.perform(entry.index, command);
+        if !operation.is_empty() {
+            self.remember(operation, outcome.clone(), wall_ms);
+        }
+        outcome
+    }
+
+    fn perform(&mut self, index: Index, command: Command) -> Outcome {
+        let wall_ms = command.wall_ms;
+        match command.kind {
+            Some(command::Kind::Change(change)) => self.config.apply(change),
+            Some(command::Kind::Claim(claim)) => self.claims.claim(index, wall_ms, claim),
+            Some(command::Kind::Settle(settle)) => self.claims.settle(settle),
+            Some(command::Kind::PlaceOrder(order)) => self.orders.place(index, order),
+            Some(command::Kind::OrderResult(result)) => self.orders.finish(result),
+            Some(command::Kind::Burn(report)) => self.burn.add(wall_ms, report),
+            Some(command::Kind::Members(members)) => {
+                self.replicas = members.replicas;
+                Outcome { result: "ok".into(), number: index, ..Outcome::default() }
+            }
+            Some(command::Kind::Noop(_)) | None => Outcome::default(),
+        }
+    }
+
+    fn remember(&mut self, operation: SmolStr, outcome: Outcome, wall_ms: u64) {
+        let text = operation.to_string();
+        let state = OperationState { operation: text, outcome: Some(outcome), wall_ms };
+        self.operations.insert(operation.clone(), state);
+        self.operation_order.push_back(operation);
+        if self.operation_order.len() > MOST_OPERATIONS
+            && let Some(oldest) = self.operation_order.pop_front()
+        {
+            self.operations.remove(&oldest);
+        }
+    }
+
+    /// Encodes the whole state.
+    pub fn encode(&self) -> Vec<u8> {
+        let (records, removed_floor) = self.config.export();
+        let operations =
+            self.operation_order.iter().filter_map(|o| self.operations.get(o).cloned());
+        let snapshot = Snapshot {
+            last_index: self.applied,
+            last_term: self.applied_term,
+            members: Some(Members { replicas: self.replicas.clone() }),
+            config_version: self.config.version(),
+            removed_floor,
+            records,
+            claims: self.claims.export(),
+            orders: self.orders.all(),
+            operations: operations.collect(),
+            burn: self.burn.export(),
+        };
+        snapshot.encode_to_vec()
+    }
+
+    /// Builds the state from an encoded one.
+    ///
+    /// # Errors
+    /// Bytes that are no snapshot.
+    pub fn decode(data: &[u8]) -> Result<Self, prost::DecodeError> {
+        let s = Snapshot::decode(data)?;
+        let mut state = Self {
+            applied: s.last_index,
+            applied_term: s.last_term,
+            replicas: s.members.map(|m| m.replicas).unwrap_or_default(),
+            config: ConfigRecords::import(s.config_version, s.removed_floor, s.records),
+            claims: Claims::import(s.claims),
+            orders: Orders::import(s.orders),
+            burn: BurnCounts::import(s.burn),
+            ..Self::default()
+        };
+        for operation in s.operations {
+            let name = SmolStr::new(&operation.operation);
+            state.operation_order.push_back(name.clone());
+            state.operations.insert(name, operation);
+        }
+        Ok(state)
+    }
+}
--- /dev/null
+++ b/src/control/store.rs
@@ -0,0 +1,290 @@
+//! The data folder of a control replica: identity, log and snapshot, all synced.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use bytes::Bytes;
+use prost::Message;
+use rand::RngExt;
+use snafu::{ResultExt, Snafu};
+
+use super::log_file::{self, LogDamage};
+use crate::faults::{self, Fault};
+use crate::ids::{Index, ReplicaId};
+use crate::raft::Restored;
+use crate::wire::{Entry, HardState, LogRecord, Snapshot, log_record};
+
+/// Why a data folder cannot be used.
+#[derive(Debug, Snafu)]
+pub enum StoreError {
+    /// A file operation failed.
+    #[snafu(display("{}: {source}", path.display()))]
+    Io {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// Another process uses the folder.
+    #[snafu(display("{}: in use by another process; stop it first", path.display()))]
+    Locked {
+        /// Folder.
+        path: PathBuf,
+    },
+    /// A file is damaged where nothing was being written.
+    #[snafu(display(
+        "{}: damaged at byte {offset}: {reason}; move the folder away and let this host \
+         rejoin as a new replica",
+        path.display()
+    ))]
+    Damaged {
+        /// File.
+        path: PathBuf,
+        /// Offset in bytes.
+        offset: u64,
+        /// What is wrong there.
+        reason: String,
+    },
+}
+
+const SNAPSHOT_MAGIC: &[u8; 8] = b"BLSNAP01";
+
+/// What opening a data folder found.
+#[derive(Debug)]
+pub struct Opened {
+    /// The store, ready for writing.
+    pub store: Store,
+    /// State to start the replica from.
+    pub found: Restored,
+    /// Bytes of a torn tail that were cut from the log.
+    pub cut: u64,
+}
+
+/// An open data folder.
+#[derive(Debug)]
+pub struct Store {
+    folder: PathBuf,
+    id: ReplicaId,
+    log: File,
+    batch: Vec<u8>,
+    _lock: File,
+}
+
+impl Store {
+    /// Opens or creates a data folder.
+    ///
+    /// # Errors
+    /// Fails when the folder is in use, cannot be written, or lost synced data.
+    pub fn open(folder: &Path) -> Result<Opened, StoreError> {
+        fs::create_dir_all(folder).context(IoSnafu { path: folder })?;
+        let lock = lock_folder(folder)?;
+        let id = match read_identity(folder)? {
+            Some(id) => id,
+            None => create_identity(folder)?,
+        };
+        let snapshot = read_snapshot(&folder.join("snapshot"))?;
+        let path = folder.join("log");
+        let data = fs::read(&path).context(IoSnafu { path: &path })?;
+        let read = log_file::read(&data).map_err(|d| damaged(&path, d))?;
+        let cut = data.len() as u64 - read.valid_len;
+        let log = OpenOptions::new().append(true).open(&path).context(IoSnafu { path: &path })?;
+        if cut > 0 {
+            log.set_len(read.valid_len).context(IoSnafu { path: &path })?;
+            log.sync_all().context(IoSnafu { path: &path })?;
+        }
+        let found = replay(read.records, snapshot, &path)?;
+        let store =
+            Self { folder: folder.to_owned(), id, log, batch: Vec::new(), _lock: lock };
+        Ok(Opened { store, found, cut })
+    }
+
+    /// Identity of this replica; it is lost together with the folder.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// Adds term and vote to the batch.
+    pub fn put_hard(&mut self, hard: HardState) {
+        self.put(log_record::Kind::Hard(hard));
+    }
+
+    /// Adds an entry to the batch.
+    pub fn put_entry(&mut self, entry: Entry) {
+        self.put(log_record::Kind::Entry(entry));
+    }
+
+    /// Adds a truncation to the batch.
+    pub fn put_truncate(&mut self, from: Index) {
+        self.put(log_record::Kind::TruncateFrom(from));
+    }
+
+    fn put(&mut self, kind: log_record::Kind) {
+        let record = LogRecord { kind: Some(kind) };
+        record.encode_length_delimited(&mut self.batch).unwrap_or_default();
+    }
+
+    /// Writes and syncs the batch; nothing may depend on it before this returns.
+    ///
+    /// # Errors
+    /// After an error the folder's content is unknown: the process has to end.
+    pub fn sync(&mut self) -> io::Result<()> {
+        if self.batch.is_empty() {
+            return Ok(());
+        }
+        let frame = log_file::frame(&self.batch);
+        self.batch.clear();
+        if faults::reach("store.write") == Some(Fault::Short) {
+            self.log.write_all(&frame[..frame.len() / 2])?;
+            return Err(io::Error::other("short write"));
+        }
+        self.log.write_all(&frame)?;
+        if faults::reach("store.sync").is_some() {
+            return Err(io::Error::other("sync failed"));
+        }
+        self.log.sync_data()?;
+        faults::reach("store.synced");
+        Ok(())
+    }
+
+    /// Replaces the snapshot, then the log by the entries that follow it.
+    ///
+    /// # Errors
+    /// After an error the process has to end; the folder stays readable.
+    pub fn compact(&mut self, snapshot: &[u8], hard: HardState, rest: Vec<Entry>) -> io::Result<()> {
+        self.sync()?;
+        self.replace("snapshot", &frame_snapshot(snapshot))?;
+        faults::reach("store.compact.between");
+        self.put_hard(hard);
+        for entry in rest {
+            self.put_entry(entry);
+        }
+        let frame = log_file::frame(&self.batch);
+        self.batch.clear();
+        self.replace("log", &frame)?;
+        self.log = OpenOptions::new().append(true).open(self.folder.join("log"))?;
+        Ok(())
+    }
+
+    fn replace(&self, name: &str, data: &[u8]) -> io::Result<()> {
+        replace_file(&self.folder, name, data)
+    }
+}
+
+fn replace_file(folder: &Path, name: &str, data: &[u8]) -> io::Result<()> {
+    let partial = folder.join(format!("{name}.new"));
+    let mut f = File::create(&partial)?;
+    f.write_all(data)?;
+    f.sync_all()?;
+    faults::reach("store.replace");
+    fs::rename(&partial, folder.join(name))?;
+    File::open(folder)?.sync_all()
+}
+
+fn damaged(path: &Path, damage: LogDamage) -> StoreError {
+    StoreError::Damaged { path: path.to_owned(), offset: damage.offset, reason: damage.reason }
+}
+
+fn lock_folder(folder: &Path) -> Result<File, StoreError> {
+    let path = folder.join("lock");
+    let lock = File::create(&path).context(IoSnafu { path: &path })?;
+    lock.try_lock().map_err(|_| StoreError::Locked { path: folder.to_owned() })?;
+    Ok(lock)
+}
+
+fn read_identity(folder: &Path) -> Result<Option<ReplicaId>, StoreError> {
+    let path = folder.join("identity");
+    let text = match fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => {
+            return refuse_orphans(folder).map(|()| None);
+        }
+        Err(source) => return Err(StoreError::Io { path, source }),
+    };
+    let id = u64::from_str_radix(text.trim(), 16).ok().filter(|id| *id != 0);
+    let reason = "not an identity".to_owned();
+    id.map(Some).ok_or(StoreError::Damaged { path, offset: 0, reason })
+}
+
+/// A log with entries but no identity is a folder that lost part of its files.
+fn refuse_orphans(folder: &Path) -> Result<(), StoreError> {
+    for name in ["log", "snapshot"] {
+        let path = folder.join(name);
+        let len = fs::metadata(&path).map_or(0, |m| m.len());
+        if len > 0 {
+            let reason = "the identity beside it is missing".to_owned();
+            return Err(StoreError::Damaged { path, offset: 0, reason });
+        }
+    }
+    Ok(())
+}
+
+/// Creates the log before the identity, so that an identity without a log shows a loss.
+fn create_identity(folder: &Path) -> Result<ReplicaId, StoreError> {
+    let id = rand::rng().random_range(1..=u64::MAX);
+    replace_file(folder, "log", b"").context(IoSnafu { path: folder.join("log") })?;
+    let text = format!("{id:016x}\n");
+    replace_file(folder, "identity", text.as_bytes())
+        .context(IoSnafu { path: folder.join("identity") })?;
+    Ok(id)
+}
+
+fn frame_snapshot(data: &[u8]) -> Vec<u8> {
+    let mut framed = Vec::with_capacity(data.len() + 12);
+    framed.extend_from_slice(SNAPSHOT_MAGIC);
+    framed.extend_from_slice(&crc32c::crc32c(data).to_le_bytes());
+    framed.extend_from_slice(data);
+    framed
+}
+
+fn read_snapshot(path: &Path) -> Result<Option<Bytes>, StoreError> {
+    let data = match fs::read(path) {
+        Ok(data) => data,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(source) => return Err(StoreError::Io { path: path.to_owned(), source }),
+    };
+    let refuse = |reason: &str| StoreError::Damaged {
+        path: path.to_owned(),
+        offset: 0,
+        reason: reason.to_owned(),
+    };
+    let Some(rest) = data.strip_prefix(SNAPSHOT_MAGIC) else {
+        return Err(refuse("not a snapshot"));
+    };
+    let Some((crc, body)) = rest.split_first_chunk::<4>() else {
+        return Err(refuse("cut short"));
+    };
+    if u32::from_le_bytes(*crc) != crc32c::crc32c(body) {
+        return Err(refuse("checksum does not match"));
+    }
+    Ok(Some(Bytes::copy_from_slice(body)))
+}
+
+fn replay(
+    records: Vec<LogRecord>,
+    snapshot: Option<Bytes>,
+    path: &Path,
+) -> Result<Restored, StoreError> {
+    let mut found = Restored { snapshot, ..Restored::default() };
+    for record in records {
+        match record.kind {
+            Some(log_record::Kind::Hard(hard)) => found.hard = hard,
+            Some(log_record::Kind::Entry(entry)) => found.entries.push(entry),
+            Some(log_record::Kind::TruncateFrom(from)) => {
+                found.entries.retain(|e| e.index < from);
+            }
+            None => {}
+        }
+    }
+    let base = match &found.snapshot {
+        Some(data) => Snapshot::decode(data.clone()).map_or(0, |s| s.last_index),
+        None => 0,
+    };
+    found.entries.retain(|e| e.index > base);
+    let gap = (base + 1..).zip(&found.entries).find(|(want, e)| *want != e.index);
+    if let Some((want, entry)) = gap {
+        let reason = format!("entry {} follows where {want} belongs", entry.index);
+        return Err(StoreError::Damaged { path: path.to_owned(), offset: 0, reason });
+    }
+    Ok(found)
+}
--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,134 @@
+//! Numbered log events; `docs/EVENTS.md` is their catalogue.
+
+use std::fmt;
+
+use slog::{Drain, Level, Logger, o};
+
+/// Form of the log on standard error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogForm {
+    /// Lines for people.
+    Terminal,
+    /// One JSON object a line.
+    Json,
+}
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// A numbered event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Event {
+            $(#[doc = $text] $name = $number,)*
+        }
+
+        impl Event {
+            /// All events.
+            pub const ALL: &'static [Event] = &[$(Event::$name,)*];
+
+            /// Level that the event is logged at.
+            pub fn level(self) -> Level {
+                match self { $(Event::$name => Level::$level,)* }
+            }
+
+            /// Message of the event.
+            pub fn text(self) -> &'static str {
+                match self { $(Event::$name => $text,)* }
+            }
+        }
+    };
+}
+
+events! {
+    ProcessStarted = 100, Info, "process started";
+    ProcessDraining = 101, Info, "draining after a signal";
+    ProcessStopped = 102, Info, "process stopped";
+    DrainCutShort = 103, Warning, "drain ended with work left";
+    SettingsRefused = 104, Error, "settings refused";
+    LinkOpened = 200, Info, "link opened";
+    LinkLost = 201, Warning, "link lost";
+    FrameRefused = 202, Warning, "frame refused";
+    LeaderElected = 300, Info, "this replica leads";
+    LeaderLost = 301, Warning, "this replica no longer leads";
+    LogTailCut = 302, Warning, "torn tail of the log cut";
+    StoreRefused = 303, Error, "data folder refused";
+    SyncFailed = 304, Critical, "write or sync failed, ending the process";
+    SnapshotTaken = 305, Info, "snapshot taken";
+    SnapshotRestored = 306, Info, "snapshot of the leader restored";
+    MembersChanged = 307, Info, "replicas of control changed";
+    ClusterFormed = 308, Info, "cluster formed";
+    ConfigAccepted = 400, Info, "configuration change accepted";
+    ConfigRefused = 401, Warning, "configuration change refused";
+    ConfigTaken = 402, Info, "configuration in force on this node";
+    LeaseLost = 403, Warning, "configuration lease lost, taking no new work";
+    LeaseGained = 404, Info, "configuration lease gained";
+    ConfigUnreadable = 405, Error, "configuration record not understood";
+    EndpointJoined = 500, Info, "endpoint joined";
+    EndpointLeaving = 501, Info, "endpoint leaving";
+    EndpointLost = 502, Warning, "endpoint lost";
+    EndpointUnfit = 503, Warning, "endpoint unfit";
+    OrderPlaced = 510, Info, "order placed";
+    OrderDone = 511, Info, "order done";
+    OrderRefused = 512, Warning, "order refused by the fencing gate";
+    OrphanCancelled = 520, Warning, "engine held a request unknown to the ledger, cancelled";
+    ReleaseOverdue = 521, Warning, "engine has not confirmed a release in time";
+    RequestRefused = 600, Debug, "request refused";
+    RequestFailed = 601, Warning, "request failed";
+    AttemptRetried = 602, Info, "attempt retried";
+    OutcomeUnknown = 603, Warning, "booking ended with unknown outcome";
+    SettleDelayed = 604, Warning, "outcome of a booking not recorded yet";
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{}", *self as u32)
+    }
+}
+
+/// Logs a numbered event: `event!(log, LinkLost, "peer" => name)`.
+#[macro_export]
+macro_rules! event {
+    ($log:expr, $name:ident $(, $key:literal => $value:expr)* $(,)?) => {{
+        let event = $crate::events::Event::$name;
+        let code = format!("E{}", event as u32);
+        match event.level() {
+            slog::Level::Critical => slog::crit!($log, "{}", event.text();
+                "event" => code $(, $key => $value)*),
+            slog::Level::Error => slog::error!($log, "{}", event.text();
+                "event" => code $(, $key => $value)*),
+            slog::Level::Warning => slog::warn!($log, "{}", event.text();
+                "event" => code $(, $key => $value)*),
+            slog::Level::Info => slog::info!($log, "{}", event.text();
+                "event" => code $(, $key => $value)*),
+            _ => slog::debug!($log, "{}", event.text();
+                "event" => code $(, $key => $value)*),
+        }
+    }};
+}
+
+/// Builds the logger of a process; the guard flushes it when dropped.
+pub fn build_logger(
+    form: LogForm,
+    level: Level,
+    role: &'static str,
+    node: &str,
+) -> (Logger, slog_async::AsyncGuard) {
+    let (drain, guard) = match form {
+        LogForm::Terminal => {
+            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let format = slog_term::FullFormat::new(decorator).build().fuse();
+            slog_async::Async::new(format).build_with_guard()
+        }
+        LogForm::Json => {
+            let json = slog_json::Json::default(std::io::stderr()).fuse();
+            slog_async::Async::new(json).build_with_guard()
+        }
+    };
+    let drain = slog::LevelFilter::new(drain, level).fuse();
+    let log = Logger::root(drain, o!("role" => role, "node" => node.to_owned()));
+    (log, guard)
+}
+
+/// A logger that drops everything.
+pub fn quiet_logger() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
