--- /dev/null
+++ b/src/agent/attempts.rs
@@ -0,0 +1,246 @@
+//! Runs attempts: admission, the one start, the endpoint, and the confirmed release.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use parking_lot::Mutex;
+use tokio::time::sleep;
+
+use super::admission::Ask;
+use super::ledger::AttemptKey;
+use super::output::Attempt;
+use super::run_once::{Entry, RunOnce};
+use super::settle::Settler;
+use super::slot::{Asked, Slot, Turn};
+use crate::engine::{EngineError, Generate, Generated, ServiceAnswer, ServiceCall};
+use crate::faults;
+use crate::node::Node;
+use crate::wire::envelope::Body;
+use crate::wire::{Dispatch, End, Failed, Refused};
+
+/// Shortest time after which a refused caller may come back, in milliseconds.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// Time that a finished attempt can be attached to again.
+pub const LINGER: Duration = Duration::from_secs(2);
+
+/// What all attempts of an agent share.
+pub struct AttemptRunner {
+    /// This node.
+    pub node: Arc<Node>,
+    /// Attempts that started or are dead.
+    pub once: Mutex<RunOnce>,
+    /// Records outcomes of bookings.
+    pub settler: Settler,
+}
+
+impl AttemptRunner {
+    /// Refuses an attempt for good; a late copy of a started one gets no answer.
+    pub fn refuse(&self, attempt: &Attempt, slot: Option<&Slot>, reason: &str) {
+        let dead = self.once.lock().kill(self.node.now(), &attempt.key);
+        if dead {
+            attempt.end(Body::Refused(refused(&attempt.key, slot, reason)));
+        }
+    }
+
+    /// Runs an attempt to its final message.
+    pub async fn run(&self, attempt: &Attempt, slot: &Slot, dispatch: Dispatch, body: Bytes) {
+        let now = self.node.now();
+        let is_service = !dispatch.method.is_empty();
+        let tokens =
+            if is_service { 0 } else { dispatch.prompt_tokens + dispatch.output_tokens };
+        let ask = Ask {
+            workspace: dispatch.workspace.as_str().into(),
+            weight: u64::from(dispatch.weight),
+            priority: dispatch.priority,
+            tokens,
+            deadline: now + Duration::from_millis(dispatch.remaining_ms),
+        };
+        let (ticket, turn) = match slot.ask(now, &attempt.key, ask) {
+            Asked::Waits(ticket, turn) => (ticket, turn),
+            Asked::TooLarge(capacity) => {
+                let reason = format!("needs {tokens} tokens of memory, the engine has {capacity}");
+                return self.refuse(attempt, Some(slot), &reason);
+            }
+            Asked::Full => return self.refuse(attempt, Some(slot), "queue full"),
+        };
+        let turn = tokio::select! {
+            biased;
+            () = attempt.cx.cancelled() => {
+                self.withdraw(attempt, slot, ticket);
+                return;
+            }
+            turn = turn => turn,
+        };
+        if turn != Ok(Turn::Start) {
+            return self.refuse(attempt, Some(slot), "waited past its deadline");
+        }
+        faults::reach("agent.admitted");
+        if !self.may_start(attempt, slot) {
+            slot.finish(self.node.now(), &attempt.key);
+            return;
+        }
+        if is_service {
+            self.call_service(attempt, slot, dispatch, body).await;
+        } else {
+            self.generate(attempt, slot, dispatch, body).await;
+        }
+    }
+
+    /// Takes a cancelled attempt out of the queue, or gives back what it just got.
+    fn withdraw(&self, attempt: &Attempt, slot: &Slot, ticket: u64) {
+        if !slot.leave(ticket) {
+            slot.finish(self.node.now(), &attempt.key);
+        }
+        self.refuse(attempt, Some(slot), "cancelled before its start");
+    }
+
+    /// The last check before the endpoint: lease, leaving, and one start only.
+    fn may_start(&self, attempt: &Attempt, slot: &Slot) -> bool {
+        if !self.node.holds_lease() {
+            self.refuse(attempt, Some(slot), "this agent's configuration lease ran out");
+            return false;
+        }
+        if attempt.cx.is_cancelled() {
+            self.refuse(attempt, Some(slot), "cancelled before its start");
+            return false;
+        }
+        match self.once.lock().start(self.node.now(), &attempt.key) {
+            Entry::Start => true,
+            Entry::Copy => false,
+            Entry::Dead => {
+                attempt.end(Body::Refused(refused(&attempt.key, Some(slot), "refused before")));
+                false
+            }
+        }
+    }
+
+    async fn generate(&self, attempt: &Attempt, slot: &Slot, dispatch: Dispatch, body: Bytes) {
+        let key = &attempt.key;
+        slot.begin_prefill(key, dispatch.prompt_tokens);
+        let generate = Generate {
+            id: key.engine_id(),
+            body,
+            chat: dispatch.chat,
+            priority: dispatch.priority,
+        };
+        let started = tokio::select! {
+            biased;
+            () = attempt.cx.cancelled() => {
+                return self.abandon(attempt, slot, "cancelled");
+            }
+            started = slot.engine.generate(generate) => started,
+        };
+        let mut stream = match started {
+            Ok(stream) => stream,
+            Err(EngineError::Broken { reason }) => return self.abandon(attempt, slot, &reason),
+            Err(e) => {
+                slot.finish(self.node.now(), key);
+                attempt.end(Body::Failed(failed(key, &e.to_string(), false)));
+                return;
+            }
+        };
+        loop {
+            let part = tokio::select! {
+                biased;
+                () = attempt.cx.cancelled() => {
+                    return self.abandon(attempt, slot, "cancelled");
+                }
+                part = stream.next() => part,
+            };
+            match part {
+                Some(Ok(Generated::Text { text, tokens })) => {
+                    slot.end_prefill(key);
+                    attempt.push(Bytes::from(text), tokens);
+                }
+                Some(Ok(Generated::Finished { reason, .. })) => {
+                    slot.finish(self.node.now(), key);
+                    let count = attempt.count();
+                    attempt.end(Body::End(end(key, count, reason, slot)));
+                    return;
+                }
+                Some(Err(e)) => return self.abandon(attempt, slot, &e.to_string()),
+                None => return self.abandon(attempt, slot, "the answer broke off"),
+            }
+        }
+    }
+
+    /// Ends an attempt that reached its engine; the sweep cancels it there until confirmed.
+    fn abandon(&self, attempt: &Attempt, slot: &Slot, reason: &str) {
+        slot.begin_release(self.node.now(), &attempt.key);
+        attempt.end(Body::Failed(failed(&attempt.key, reason, true)));
+    }
+
+    async fn call_service(
+        &self,
+        attempt: &Attempt,
+        slot: &Slot,
+        dispatch: Dispatch,
+        body: Bytes,
+    ) {
+        let key = &attempt.key;
+        let call = ServiceCall {
+            method: dispatch.method.clone(),
+            path: dispatch.path.clone(),
+            content_type: dispatch.content_type.clone(),
+            idempotency_key: dispatch.idempotency_key.clone(),
+            body,
+        };
+        let limit = Duration::from_millis(dispatch.remaining_ms);
+        let answered = tokio::select! {
+            answered = slot.service.call(call) => answered,
+            () = sleep(limit) => Err(EngineError::Broken { reason: "no answer in time".into() }),
+        };
+        slot.finish(self.node.now(), key);
+        match answered {
+            Ok(answer) => self.give_answer(attempt, slot, &dispatch, answer).await,
+            Err(e) => {
+                let ran = matches!(e, EngineError::Broken { .. });
+                attempt.end(Body::Failed(failed(key, &e.to_string(), ran)));
+            }
+        }
+    }
+
+    /// Records a booking's answer before it is given, so that its key can be asked again.
+    async fn give_answer(
+        &self,
+        attempt: &Attempt,
+        slot: &Slot,
+        dispatch: &Dispatch,
+        answer: ServiceAnswer,
+    ) {
+        faults::reach("agent.settle");
+        if dispatch.claim != 0 {
+            self.settler.settle_done(dispatch, &answer).await;
+        }
+        faults::reach("agent.settled");
+        let len = answer.body.len() as u64;
+        attempt.set_head(answer.status, answer.content_type);
+        if len > 0 {
+            attempt.push(answer.body, len);
+        }
+        attempt.end(Body::End(end(&attempt.key, len, "stop".into(), slot)));
+    }
+}
+
+fn refused(key: &AttemptKey, slot: Option<&Slot>, reason: &str) -> Refused {
+    Refused {
+        request: key.request.to_string(),
+        attempt: key.attempt,
+        reason: reason.to_owned(),
+        retry_after_ms: RETRY_AFTER_MS,
+        load: slot.map(Slot::load),
+    }
+}
+
+fn failed(key: &AttemptKey, reason: &str, ran: bool) -> Failed {
+    let request = key.request.to_string();
+    Failed { request, attempt: key.attempt, reason: reason.to_owned(), ran }
+}
+
+fn end(key: &AttemptKey, count: u64, finish: String, slot: &Slot) -> End {
+    let request = key.request.to_string();
+    End { request, attempt: key.attempt, count, finish, load: Some(slot.load()) }
+}
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,14 @@
+//! The agent role: admission, memory, run-once, fencing and drain beside endpoints.
+
+pub mod admission;
+pub mod attempts;
+pub mod fencing;
+pub mod ledger;
+pub mod orders;
+pub mod output;
+pub mod role;
+pub mod run_once;
+pub mod server;
+pub mod settle;
+pub mod slot;
+pub mod sweep;
--- /dev/null
+++ b/src/agent/role.rs
@@ -0,0 +1,65 @@
+//! The agent's part of the calls to control.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use smol_str::SmolStr;
+
+use super::orders::OrderDesk;
+use super::slot::Slot;
+use crate::node::{Node, SyncRole};
+use crate::wire::{EndpointReport, Sync, SyncReply};
+
+/// Announces the agent's endpoints and takes its orders.
+pub struct AgentRole {
+    /// This node.
+    pub node: Arc<Node>,
+    /// Endpoints by name.
+    pub slots: HashMap<SmolStr, Arc<Slot>>,
+    /// Orders.
+    pub orders: Arc<OrderDesk>,
+    /// Endpoints and results of the call under way.
+    pub asked: Mutex<(Vec<SmolStr>, Vec<u64>)>,
+}
+
+impl SyncRole for AgentRole {
+    fn fill(&self, sync: &mut Sync) {
+        let config = self.node.config();
+        let mut reserved = 0;
+        let mut names: Vec<&SmolStr> = self.slots.keys().collect();
+        names.sort();
+        for name in &names {
+            let slot = &self.slots[*name];
+            let load = slot.load();
+            reserved += load.kv_reserved;
+            let services = config.servers.get(*name).map(|s| s.services.clone());
+            let services = services.unwrap_or_default().into_iter();
+            let mut models = slot.models();
+            models.extend(services.map(|s| format!("service:{s}")));
+            sync.endpoints.push(EndpointReport {
+                name: name.to_string(),
+                load: Some(load),
+                models,
+                fit: slot.is_fit(),
+                draining: config.version > 0 && config.is_leaving(name),
+                order_floor: self.orders.floor(name),
+            });
+        }
+        self.node.metrics.kv_reserved.set(reserved);
+        sync.orders_seen = self.orders.seen();
+        sync.order_results = self.orders.results();
+        let results = sync.order_results.iter().map(|r| r.number).collect();
+        *self.asked.lock() = (names.into_iter().cloned().collect(), results);
+    }
+
+    fn take(&self, reply: SyncReply) {
+        if reply.superseded {
+            return;
+        }
+        let (names, results) = std::mem::take(&mut *self.asked.lock());
+        let floors: Vec<_> = names.into_iter().zip(reply.order_floors).collect();
+        self.orders.take(&floors, reply.orders);
+        self.orders.forget_results(&results, &reply.open_orders);
+    }
+}
--- /dev/null
+++ b/src/control/core.rs
@@ -0,0 +1,399 @@
+//! The one thread that owns a replica: protocol, store, state and the leader's soft state.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use slog::Logger;
+use tokio::sync::oneshot;
+
+use super::peers::PeerSender;
+use super::placement;
+use super::roster::{Heard, Roster, RosterConfig, RosterEvent};
+use super::state::ControlState;
+use super::store::Store;
+use super::sync_desk::{SyncDesk, WaitingSync};
+use crate::config::FleetConfig;
+use crate::event;
+use crate::faults;
+use crate::ids::{Index, Moment, ReplicaId, Term};
+use crate::raft::{Effect, Raft};
+use crate::wire::{Command, HardState, Outcome, Peer, Replica, Sync, SyncReply, command};
+
+/// Longest wait for input, and so the resolution of all timers here.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Inputs taken before the batch is synced.
+const MOST_INPUTS: usize = 2048;
+
+/// Settings of the core.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CoreConfig {
+    /// Lease on the configuration that nodes get.
+    pub lease: Duration,
+    /// Entries after which a snapshot is taken.
+    pub snapshot_entries: usize,
+    /// Timing of the roster.
+    pub roster: RosterConfig,
+}
+
+impl Default for CoreConfig {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_millis(3000),
+            snapshot_entries: 20_000,
+            roster: RosterConfig::default(),
+        }
+    }
+}
+
+/// An answer that only the leader can give.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer<T> {
+    /// The answer.
+    Done(T),
+    /// This replica does not lead; the leader's address if it is known.
+    NotLeader(Option<String>),
+}
+
+/// The state as a read sees it.
+pub struct CoreView<'a> {
+    /// Whether this replica leads and a quorum has just confirmed it.
+    pub confirmed: bool,
+    /// Replicated state as far as it is applied here.
+    pub state: &'a ControlState,
+    /// Nodes and endpoints; empty unless this replica leads.
+    pub roster: &'a Roster,
+    /// The protocol.
+    pub raft: &'a Raft,
+    /// Moment of the read.
+    pub now: Moment,
+}
+
+/// A read of the core's state.
+pub type ReadFn = Box<dyn FnOnce(CoreView<'_>) + Send>;
+
+/// What the core is asked.
+pub enum Input {
+    /// A message of another replica.
+    Peer(Peer),
+    /// Commit a command.
+    Propose(Command, oneshot::Sender<Answer<Outcome>>),
+    /// Hear a node and answer with news.
+    Sync(Box<Sync>, oneshot::Sender<Answer<SyncReply>>),
+    /// Look at the state.
+    Read(ReadFn),
+    /// Add a replica.
+    Join(Replica, oneshot::Sender<Answer<bool>>),
+    /// Remove a replica.
+    Remove(ReplicaId, oneshot::Sender<Answer<bool>>),
+    /// Form a cluster of this replica alone.
+    Found(oneshot::Sender<bool>),
+    /// End the thread.
+    Stop,
+}
+
+type Pending = BTreeMap<Index, (Term, oneshot::Sender<Answer<Outcome>>)>;
+
+/// The core of a control replica.
+pub struct Core {
+    cfg: CoreConfig,
+    own: Replica,
+    raft: Raft,
+    store: Store,
+    state: ControlState,
+    fleet: FleetConfig,
+    roster: Roster,
+    desk: SyncDesk,
+    pending: Pending,
+    peers: PeerSender,
+    placed_at: Moment,
+    log: Logger,
+    start: Instant,
+}
+
+impl Core {
+    /// Builds the core; `state` is what the snapshot in the store held.
+    pub fn new(
+        cfg: CoreConfig,
+        own: Replica,
+        raft: Raft,
+        store: Store,
+        state: ControlState,
+        peers: PeerSender,
+        log: Logger,
+    ) -> Self {
+        let mut fleet = FleetConfig::default();
+        let news = state.config.since(0);
+        fleet.apply(news.version, true, &news.records);
+        let lease = cfg.lease;
+        Self {
+            cfg,
+            own,
+            raft,
+            store,
+            state,
+            fleet,
+            roster: Roster::default(),
+            desk: SyncDesk::new(lease),
+            pending: Pending::new(),
+            peers,
+            placed_at: Moment::ZERO,
+            log,
+            start: Instant::now(),
+        }
+    }
+
+    /// Runs until stopped. A failed write or sync ends the process.
+    pub fn run(mut self, rx: Receiver<Input>) {
+        loop {
+            let first = match rx.recv_timeout(TICK) {
+                Ok(input) => Some(input),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let now = self.start.elapsed();
+            let rest = std::iter::from_fn(|| rx.try_recv().ok()).take(MOST_INPUTS);
+            for input in first.into_iter().chain(rest) {
+                if matches!(input, Input::Stop) {
+                    return;
+                }
+                self.take(now, input);
+            }
+            self.advance(now);
+        }
+    }
+
+    fn take(&mut self, now: Moment, input: Input) {
+        match input {
+            Input::Peer(msg) => self.take_peer(now, msg),
+            Input::Propose(command, reply) => self.propose(now, command, reply),
+            Input::Sync(sync, reply) => self.take_sync(now, *sync, reply),
+            Input::Read(read) => read(CoreView {
+                confirmed: self.raft.may_read(now),
+                state: &self.state,
+                roster: &self.roster,
+                raft: &self.raft,
+                now,
+            }),
+            Input::Join(replica, reply) => {
+                let done = self.raft.join(now, replica);
+                self.answer_leader(reply, done);
+            }
+            Input::Remove(id, reply) => {
+                let done = self.raft.remove(now, id);
+                self.answer_leader(reply, done);
+            }
+            Input::Found(reply) => {
+                let formed = self.raft.found(now, self.own.clone());
+                let _ = reply.send(formed);
+            }
+            Input::Stop => {}
+        }
+    }
+
+    fn take_peer(&mut self, now: Moment, msg: Peer) {
+        if !msg.from_address.is_empty() {
+            self.peers.learn(msg.from, &msg.from_address);
+        }
+        self.raft.receive(now, msg);
+    }
+
+    fn answer_leader<T>(&self, reply: oneshot::Sender<Answer<T>>, value: T) {
+        let answer = if self.raft.is_leader() { Answer::Done(value) } else { self.not_leader() };
+        let _ = reply.send(answer);
+    }
+
+    fn not_leader<T>(&self) -> Answer<T> {
+        let leader = self.raft.leader().filter(|id| *id != self.raft.id());
+        let replica = self.raft.replicas().iter().find(|r| Some(r.id) == leader);
+        Answer::NotLeader(replica.map(|r| r.address.clone()))
+    }
+
+    fn propose(
+        &mut self,
+        now: Moment,
+        mut command: Command,
+        reply: oneshot::Sender<Answer<Outcome>>,
+    ) {
+        command.wall_ms = wall_ms();
+        match self.raft.propose(now, command) {
+            Some((index, term)) => {
+                self.pending.insert(index, (term, reply));
+            }
+            None => {
+                let _ = reply.send(self.not_leader());
+            }
+        }
+    }
+
+    fn take_sync(&mut self, now: Moment, sync: Sync, reply: oneshot::Sender<Answer<SyncReply>>) {
+        if !self.raft.may_read(now) {
+            let _ = reply.send(self.not_leader());
+            return;
+        }
+        for result in &sync.order_results {
+            let kind = Some(command::Kind::OrderResult(result.clone()));
+            let operation = format!("order-result/{}", result.number);
+            let wall_ms = wall_ms();
+            self.raft.propose(now, Command { wall_ms, operation, kind });
+        }
+        let heard = self.roster.hear(now, &sync);
+        let superseded = heard == Heard::Superseded;
+        self.desk.take(WaitingSync { sync, since: now, superseded, looked: false, reply });
+    }
+
+    fn advance(&mut self, now: Moment) {
+        self.raft.tick(now);
+        if self.raft.is_leader() {
+            self.roster.tick(now);
+            self.log_roster();
+            self.place_orders(now);
+        }
+        self.perform(now);
+        self.compact_if_due();
+        if self.raft.may_read(now) {
+            let confirmed = self.raft.confirmed(now);
+            self.desk.answer(now, confirmed, &self.state, &self.roster);
+        } else {
+            let answer = self.not_leader();
+            self.desk.refuse_all(&answer);
+        }
+    }
+
+    /// Writes and syncs first; then sends, applies and answers.
+    fn perform(&mut self, now: Moment) {
+        let effects = self.raft.take_effects(now);
+        let mut later = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::SaveHard(hard) => self.store.put_hard(hard),
+                Effect::SaveEntry(entry) => self.store.put_entry(entry),
+                Effect::Truncate(from) => self.store.put_truncate(from),
+                Effect::Restore(data) => self.restore(data),
+                other => later.push(other),
+            }
+        }
+        let synced = self.store.sync();
+        self.end_on_error(synced);
+        for effect in later {
+            self.perform_later(now, effect);
+        }
+    }
+
+    fn perform_later(&mut self, now: Moment, effect: Effect) {
+        match effect {
+            Effect::Send(msg) => self.peers.send(self.raft.replicas(), msg),
+            Effect::Commit(entry) => self.apply(entry),
+            Effect::Lead => {
+                event!(self.log, LeaderElected, "term" => self.raft.term());
+                self.roster = Roster::new(self.cfg.roster.clone(), self.raft.term(), now);
+            }
+            Effect::StepDown => {
+                event!(self.log, LeaderLost, "term" => self.raft.term());
+                self.pending.clear();
+                self.roster = Roster::default();
+            }
+            Effect::SaveHard(_)
+            | Effect::SaveEntry(_)
+            | Effect::Truncate(_)
+            | Effect::Restore(_) => {}
+        }
+    }
+
+    fn apply(&mut self, entry: crate::wire::Entry) {
+        faults::reach("control.apply");
+        if entry.index <= self.state.applied {
+            return;
+        }
+        let (index, term) = (entry.index, entry.term);
+        let before = self.state.config.version();
+        let replicas = self.state.replicas.len();
+        let outcome = self.state.apply(entry);
+        let version = self.state.config.version();
+        if version > before {
+            let news = self.state.config.since(before);
+            self.fleet.apply(news.version, news.full, &news.records);
+            event!(self.log, ConfigAccepted, "version" => version);
+        }
+        if self.state.replicas.len() != replicas {
+            event!(self.log, MembersChanged, "replicas" => self.state.replicas.len());
+        }
+        if let Some((proposed_in, reply)) = self.pending.remove(&index) {
+            let answer = if proposed_in == term { Answer::Done(outcome) } else { self.not_leader() };
+            faults::reach("control.answer");
+            let _ = reply.send(answer);
+        }
+    }
+
+    fn restore(&mut self, data: Bytes) {
+        let Ok(state) = ControlState::decode(&data) else { return };
+        let hard = self.hard_state();
+        let rest = self.raft.log().slice(state.applied + 1, usize::MAX);
+        let written = self.store.compact(&data, hard, rest);
+        self.end_on_error(written);
+        event!(self.log, SnapshotRestored, "index" => state.applied);
+        self.state = state;
+        let news = self.state.config.since(0);
+        self.fleet.apply(news.version, true, &news.records);
+    }
+
+    fn compact_if_due(&mut self) {
+        if self.raft.log().len() < self.cfg.snapshot_entries {
+            return;
+        }
+        let applied = self.state.applied;
+        if applied <= self.raft.log().base_index() {
+            return;
+        }
+        let data = Bytes::from(self.state.encode());
+        self.raft.compact(applied, data.clone());
+        let rest = self.raft.log().slice(applied + 1, usize::MAX);
+        let written = self.store.compact(&data, self.hard_state(), rest);
+        self.end_on_error(written);
+        event!(self.log, SnapshotTaken, "index" => applied, "bytes" => data.len());
+    }
+
+    fn hard_state(&self) -> HardState {
+        self.raft.hard_state()
+    }
+
+    /// After a failed write the folder's content is unknown, so no later answer can be trusted.
+    fn end_on_error(&self, written: std::io::Result<()>) {
+        if let Err(e) = written {
+            event!(self.log, SyncFailed, "error" => e.to_string());
+            eprintln!("bitternlead: write or sync of the data folder failed: {e}");
+            std::process::exit(crate::exit_codes::ExitCode::DataFolder as i32);
+        }
+    }
+
+    fn log_roster(&mut self) {
+        for event in self.roster.take_events() {
+            match event {
+                RosterEvent::Joined(e) => event!(self.log, EndpointJoined, "endpoint" => e.as_str()),
+                RosterEvent::Leaving(e) => event!(self.log, EndpointLeaving, "endpoint" => e.as_str()),
+                RosterEvent::Lost(e) => event!(self.log, EndpointLost, "endpoint" => e.as_str()),
+            }
+        }
+    }
+
+    fn place_orders(&mut self, now: Moment) {
+        if now.saturating_sub(self.placed_at) < placement::INTERVAL || !self.raft.may_read(now) {
+            return;
+        }
+        self.placed_at = now;
+        let wall = jiff::Timestamp::now();
+        for order in placement::plan(&self.fleet, &self.roster, &self.state.orders, wall) {
+            event!(self.log, OrderPlaced, "endpoint" => &order.endpoint, "kind" => &order.kind);
+            let kind = Some(command::Kind::PlaceOrder(order));
+            let command = Command { wall_ms: wall_ms(), operation: String::new(), kind };
+            self.raft.propose(now, command);
+        }
+    }
+}
+
+/// Wall time in milliseconds since 1970; for retention and reports only.
+pub fn wall_ms() -> u64 {
+    jiff::Timestamp::now().as_millisecond().max(0) as u64
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,7 +3,15 @@
 pub mod burn_counts;
 pub mod claims;
 pub mod config_records;
+pub mod core;
 pub mod log_file;
+pub mod operators;
 pub mod orders;
+pub mod peers;
+pub mod placement;
+pub mod reports;
+pub mod roster;
+pub mod server;
 pub mod state;
 pub mod store;
+pub mod sync_desk;
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -1,6 +1,6 @@
 //! Orders to endpoints; the log index of an order is its fencing number.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use smol_str::SmolStr;
 
@@ -15,19 +15,15 @@
 pub struct Orders {
     by_number: BTreeMap<Index, Order>,
     floors: BTreeMap<SmolStr, Index>,
+    open: HashMap<SmolStr, BTreeSet<Index>>,
 }
 
 impl Orders {
     /// Places an order; an open one of the same kind for the endpoint is superseded.
     pub fn place(&mut self, index: Index, order: PlaceOrder) -> Outcome {
-        let superseded = self
-            .by_number
-            .values_mut()
-            .filter(|o| o.state == "open")
-            .filter(|o| o.endpoint == order.endpoint && o.kind == order.kind);
-        for old in superseded {
-            old.state = "superseded".into();
-        }
+        let name = SmolStr::new(&order.endpoint);
+        self.supersede(&name, &order.kind);
+        self.open.entry(name).or_default().insert(index);
         self.floors.insert(SmolStr::new(&order.endpoint), index);
         let PlaceOrder { endpoint, kind, argument } = order;
         let placed = Order { number: index, endpoint, kind, argument, state: "open".into() };
@@ -36,6 +32,18 @@
         Outcome { result: "ok".into(), number: index, ..Outcome::default() }
     }
 
+    fn supersede(&mut self, endpoint: &SmolStr, kind: &str) {
+        let Some(open) = self.open.get_mut(endpoint) else { return };
+        let by_number = &mut self.by_number;
+        open.retain(|number| match by_number.get_mut(number) {
+            Some(old) if old.kind == kind => {
+                old.state = "superseded".into();
+                false
+            }
+            _ => true,
+        });
+    }
+
     /// Records what became of an order.
     pub fn finish(&mut self, result: OrderResult) -> Outcome {
         let Some(order) = self.by_number.get_mut(&result.number) else {
@@ -44,6 +52,9 @@
         if order.state == "open" {
             order.state =
                 if result.done { "done".into() } else { format!("failed: {}", result.detail) };
+            if let Some(open) = self.open.get_mut(order.endpoint.as_str()) {
+                open.remove(&result.number);
+            }
         }
         Outcome { result: "ok".into(), number: result.number, ..Outcome::default() }
     }
@@ -59,8 +70,19 @@
 
     /// Open orders for an endpoint, oldest first.
     pub fn open_for(&self, endpoint: &str) -> Vec<Order> {
-        let open = self.by_number.values().filter(|o| o.state == "open");
-        open.filter(|o| o.endpoint == endpoint).cloned().collect()
+        let numbers = self.open.get(endpoint).into_iter().flatten();
+        numbers.filter_map(|n| self.by_number.get(n).cloned()).collect()
+    }
+
+    /// Open orders of a kind, with their endpoints.
+    pub fn open_of_kind<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = &'a Order> {
+        let numbers = self.open.values().flatten();
+        numbers.filter_map(|n| self.by_number.get(n)).filter(move |o| o.kind == kind)
+    }
+
+    /// Highest number of all orders.
+    pub fn last_number(&self) -> Index {
+        self.by_number.last_key_value().map_or(0, |(number, _)| *number)
     }
 
     /// Highest number ever placed for an endpoint; older orders are void.
@@ -77,7 +99,11 @@
     pub fn import(all: Vec<Order>) -> Self {
         let mut orders = Self::default();
         for order in all {
-            orders.floors.insert(SmolStr::new(&order.endpoint), order.number);
+            let name = SmolStr::new(&order.endpoint);
+            if order.state == "open" {
+                orders.open.entry(name.clone()).or_default().insert(order.number);
+            }
+            orders.floors.insert(name, order.number);
             orders.by_number.insert(order.number, order);
         }
         orders
--- /dev/null
+++ b/src/control/server.rs
@@ -0,0 +1,128 @@
+//! Answers the system's own processes on a control replica.
+
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+
+use tokio::sync::oneshot;
+
+use super::core::{Answer, CoreView, Input};
+use crate::wire::envelope::Body;
+use crate::wire::server::{Conn, Handler};
+use crate::wire::{Join, JoinReply, NotLeader, Outcome, Propose, Read, Settle};
+
+/// Hands messages to the core and its answers back.
+pub struct ControlHandler {
+    core: Sender<Input>,
+}
+
+impl ControlHandler {
+    /// Builds a handler for a core.
+    pub fn new(core: Sender<Input>) -> Self {
+        Self { core }
+    }
+
+    /// Asks the core and sends its answer; a core that ends or steps down leads no more.
+    fn ask<T: Send + 'static>(
+        &self,
+        conn: &Conn,
+        call: u64,
+        input: impl FnOnce(oneshot::Sender<Answer<T>>) -> Input,
+        wrap: impl Fn(T) -> Body + Send + 'static,
+    ) {
+        let (tx, rx) = oneshot::channel();
+        let _ = self.core.send(input(tx));
+        let conn = conn.clone();
+        tokio::spawn(async move {
+            let body = match rx.await {
+                Ok(Answer::Done(value)) => wrap(value),
+                Ok(Answer::NotLeader(leader)) => not_leader(leader),
+                Err(_) => not_leader(None),
+            };
+            conn.send(call, body).await;
+        });
+    }
+
+    fn join(&self, conn: &Conn, call: u64, join: Join) {
+        let ask_only = join.ask_only;
+        let Some(replica) = join.replica.filter(|_| !ask_only) else {
+            return self.tell_cluster(conn, call);
+        };
+        let wrap = |accepted| {
+            Body::JoinReply(JoinReply { accepted, holds_cluster: true, ..JoinReply::default() })
+        };
+        self.ask(conn, call, |tx| Input::Join(replica, tx), wrap);
+    }
+
+    fn tell_cluster(&self, conn: &Conn, call: u64) {
+        let wrap = |holds_cluster| {
+            Body::JoinReply(JoinReply { holds_cluster, ..JoinReply::default() })
+        };
+        let read = |tx: oneshot::Sender<Answer<bool>>| {
+            Input::Read(Box::new(move |view: CoreView<'_>| {
+                let _ = tx.send(Answer::Done(!view.raft.replicas().is_empty()));
+            }))
+        };
+        self.ask(conn, call, read, wrap);
+    }
+
+    fn read_claim(&self, conn: &Conn, call: u64, read: Read) {
+        let input = move |tx: oneshot::Sender<Answer<Outcome>>| {
+            Input::Read(Box::new(move |view: CoreView<'_>| {
+                let answer = match view.confirmed {
+                    true => Answer::Done(claim_outcome(&view, &read)),
+                    false => Answer::NotLeader(None),
+                };
+                let _ = tx.send(answer);
+            }))
+        };
+        self.ask(conn, call, input, Body::Outcome);
+    }
+}
+
+fn claim_outcome(view: &CoreView<'_>, read: &Read) -> Outcome {
+    let state = view.state.claims.get(&read.workspace, &read.key);
+    let settled: Option<Settle> = state.and_then(|s| s.settled.clone());
+    let result = match (state.is_some(), settled.is_some()) {
+        (false, _) => "none",
+        (true, false) => "pending",
+        (true, true) => "exists",
+    };
+    let number = state.map_or(0, |s| s.number);
+    Outcome { result: result.into(), number, settled, ..Outcome::default() }
+}
+
+fn not_leader(leader: Option<String>) -> Body {
+    Body::NotLeader(NotLeader { leader: leader.unwrap_or_default() })
+}
+
+impl Handler for ControlHandler {
+    fn on_message(&self, conn: &Conn, call: u64, body: Body) {
+        match body {
+            Body::Peer(msg) => {
+                let _ = self.core.send(Input::Peer(msg));
+            }
+            Body::Sync(sync) => {
+                let input = |tx| Input::Sync(Box::new(sync), tx);
+                self.ask(conn, call, input, Body::SyncReply);
+            }
+            Body::Propose(Propose { command: Some(command) }) => {
+                self.ask(conn, call, |tx| Input::Propose(command, tx), Body::Outcome);
+            }
+            Body::Join(join) => self.join(conn, call, join),
+            Body::Read(read) => self.read_claim(conn, call, read),
+            _ => {
+                let conn = conn.clone();
+                tokio::spawn(async move {
+                    conn.refuse(call, "a control replica does not take this message").await;
+                });
+            }
+        }
+    }
+
+    fn on_closed(&self, _conn: &Conn) {}
+}
+
+/// Shares a handler for the server.
+pub fn build_handler(core: Sender<Input>) -> Arc<dyn Handler> {
+    Arc::new(ControlHandler::new(core))
+}
--- a/src/control/store.rs
+++ b/src/control/store.rs
@@ -260,6 +260,18 @@
     Ok(Some(Bytes::copy_from_slice(body)))
 }
 
+trait TruncateFrom {
+    fn truncate_from(&mut self, index: Index);
+}
+
+impl TruncateFrom for Vec<Entry> {
+    fn truncate_from(&mut self, index: Index) {
+        while self.last().is_some_and(|e| e.index >= index) {
+            self.pop();
+        }
+    }
+}
+
 fn replay(
     records: Vec<LogRecord>,
     snapshot: Option<Bytes>,
@@ -269,9 +281,12 @@
     for record in records {
         match record.kind {
             Some(log_record::Kind::Hard(hard)) => found.hard = hard,
-            Some(log_record::Kind::Entry(entry)) => found.entries.push(entry),
+            Some(log_record::Kind::Entry(entry)) => {
+                found.entries.truncate_from(entry.index);
+                found.entries.push(entry);
+            }
             Some(log_record::Kind::TruncateFrom(from)) => {
-                found.entries.retain(|e| e.index < from);
+                found.entries.truncate_from(from);
             }
             None => {}
         }
--- /dev/null
+++ b/src/engine/http_service.rs
@@ -0,0 +1,62 @@
+//! A plain service over HTTP.
+
+use std::net::SocketAddr;
+
+use futures::future::BoxFuture;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+
+use super::http_client::{HttpClient, MAX_ANSWER, broken};
+use super::{EngineError, PlainService, ServiceAnswer, ServiceCall};
+use crate::faults;
+
+/// A service at an address.
+pub struct HttpService {
+    client: HttpClient,
+}
+
+impl HttpService {
+    /// Builds a service; nothing is connected yet.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self { client: HttpClient::new(addr) }
+    }
+
+    async fn send(&self, call: ServiceCall) -> Result<ServiceAnswer, EngineError> {
+        let mut builder = Request::builder()
+            .method(call.method.as_str())
+            .uri(call.path.as_str())
+            .header("host", "endpoint");
+        if !call.content_type.is_empty() {
+            builder = builder.header("content-type", call.content_type);
+        }
+        if !call.idempotency_key.is_empty() {
+            builder = builder.header("idempotency-key", call.idempotency_key);
+        }
+        let req = builder
+            .body(Full::new(call.body))
+            .map_err(|e| EngineError::NotReached { reason: e.to_string() })?;
+        faults::reach("agent.service.send");
+        let response = self.client.send_fresh(req).await?;
+        faults::reach("agent.service.answered");
+        let status = response.status().as_u16();
+        let content_type = response
+            .headers()
+            .get("content-type")
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
+        let body = Limited::new(response.into_body(), MAX_ANSWER);
+        let body = body.collect().await.map_err(broken)?.to_bytes();
+        Ok(ServiceAnswer { status, content_type, body })
+    }
+}
+
+impl PlainService for HttpService {
+    fn call(&self, call: ServiceCall) -> BoxFuture<'_, Result<ServiceAnswer, EngineError>> {
+        Box::pin(self.send(call))
+    }
+
+    fn probe(&self) -> BoxFuture<'_, bool> {
+        Box::pin(async move { self.client.connect().await.is_ok() })
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,143 @@
+//! What the HTTP servers of all roles share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use viz::{Body, Bytes, Request, Response, Router, StatusCode, header};
+
+use crate::metrics::Metrics;
+
+/// Why the body of a request could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum BodyError {
+    /// Larger than allowed.
+    #[snafu(display("the body is larger than {limit} bytes"))]
+    TooLarge {
+        /// Limit in bytes.
+        limit: usize,
+    },
+    /// Not complete in time.
+    #[snafu(display("the body did not arrive within {} ms", limit.as_millis()))]
+    TooSlow {
+        /// Limit.
+        limit: Duration,
+    },
+    /// The connection failed.
+    #[snafu(display("the body could not be read"))]
+    Broken,
+}
+
+impl BodyError {
+    /// Status of the answer.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
+            Self::Broken => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// Reads a whole body within a size and a time.
+pub async fn read_body(
+    req: &mut Request,
+    max: usize,
+    limit: Duration,
+) -> Result<Bytes, BodyError> {
+    let body = std::mem::take(req.body_mut());
+    let collected = timeout(limit, Limited::new(body, max).collect()).await;
+    match collected {
+        Err(_) => Err(BodyError::TooSlow { limit }),
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(e)) if is_length_error(e.as_ref()) => Err(BodyError::TooLarge { limit: max }),
+        Ok(Err(_)) => Err(BodyError::Broken),
+    }
+}
+
+fn is_length_error(e: &(dyn std::error::Error + 'static)) -> bool {
+    e.downcast_ref::<LengthLimitError>().is_some() || e.source().is_some_and(is_length_error)
+}
+
+/// Reads a JSON value of a body.
+///
+/// # Errors
+/// A text with the line and column of the problem.
+pub fn parse_json<T: DeserializeOwned>(data: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(data)
+        .map_err(|e| format!("the body is not the expected JSON: {e}"))
+}
+
+/// A JSON answer.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    build(status, "application/json", text)
+}
+
+/// An answer with a content type.
+pub fn build(status: StatusCode, content_type: &str, body: impl Into<Bytes>) -> Response {
+    let mut response = Response::new(Body::from(Full::new(body.into())));
+    *response.status_mut() = status;
+    if let Ok(value) = header::HeaderValue::from_str(content_type) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    response
+}
+
+/// Health of a process as its probes show it.
+#[derive(Clone, Debug, Default)]
+pub struct Readiness(Arc<AtomicBool>);
+
+impl Readiness {
+    /// Sets whether the process takes new work.
+    pub fn set(&self, ready: bool) {
+        self.0.store(ready, Ordering::Relaxed);
+    }
+
+    /// Whether the process takes new work.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Adds `/healthz`, `/readyz` and `/metrics`.
+pub fn add_probes(router: Router, readiness: Readiness, metrics: Arc<Metrics>) -> Router {
+    let health = |_| async { viz::Result::Ok(build(StatusCode::OK, "text/plain", "ok\n")) };
+    let ready = move |_: Request| {
+        let readiness = readiness.clone();
+        async move {
+            viz::Result::Ok(match readiness.get() {
+                true => build(StatusCode::OK, "text/plain", "ready\n"),
+                false => build(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n"),
+            })
+        }
+    };
+    let metrics = move |_: Request| {
+        let metrics = Arc::clone(&metrics);
+        async move {
+            let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+            viz::Result::Ok(build(StatusCode::OK, kind, metrics.encode()))
+        }
+    };
+    router.get("/healthz", health).get("/readyz", ready).get("/metrics", metrics)
+}
+
+/// Longest time for the headers of a request.
+const HEADER_LIMIT: Duration = Duration::from_secs(10);
+
+/// Serves until cancelled.
+pub async fn serve(listener: TcpListener, router: Router, cx: CancellationToken) {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_LIMIT);
+    let server = viz::Server::with_builder(listener, router, builder);
+    let _ = server.signal(cx.cancelled_owned()).await;
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,20 @@
 //! bitternlead: a serving layer for model prompts of very different lengths.
 
+pub mod agent;
 pub mod config;
+pub mod config_lease;
 pub mod control;
+pub mod control_client;
 pub mod derive;
+pub mod engine;
+pub mod entry;
 pub mod events;
+pub mod exit_codes;
 pub mod faults;
 pub mod findings;
+pub mod http;
 pub mod ids;
+pub mod metrics;
+pub mod node;
 pub mod raft;
 pub mod wire;
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -289,9 +289,13 @@
         self.deadline = now + base + Duration::from_millis(spread);
     }
 
+    /// Term and vote.
+    pub fn hard_state(&self) -> HardState {
+        HardState { term: self.term, voted_for: self.voted_for }
+    }
+
     fn save_hard(&mut self) {
-        let hard = HardState { term: self.term, voted_for: self.voted_for };
-        self.effects.push(Effect::SaveHard(hard));
+        self.effects.push(Effect::SaveHard(self.hard_state()));
     }
 
     fn send(&mut self, to: ReplicaId, kind: peer::Kind) {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -6,7 +6,7 @@
     pub call: u64,
     #[prost(
         oneof = "envelope::Body",
-        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 30, 31, 32, 33, 34, 35, 50, 51, 52"
+        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 30, 31, 32, 33, 34, 35, 50, 51, 52"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -38,6 +38,9 @@
         Failed(super::Failed),
         #[prost(message, tag = "18")]
         Resume(super::Resume),
+        /// From an entry: asks for load reports on this call; from an agent: one report.
+        #[prost(message, tag = "19")]
+        Load(super::Load),
         #[prost(message, tag = "30")]
         Sync(super::Sync),
         #[prost(message, tag = "31")]
@@ -235,6 +238,9 @@
     pub prefill_rate: f64,
     #[prost(uint64, tag = "8")]
     pub giants: u64,
+    /// Part of the queued prefill that belongs to short prompts.
+    #[prost(uint64, tag = "9")]
+    pub queued_short_tokens: u64,
 }
 /// Announcement of one endpoint by its agent.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -283,6 +289,9 @@
     pub wants_members: bool,
     #[prost(message, repeated, tag = "13")]
     pub order_results: ::prost::alloc::vec::Vec<OrderResult>,
+    /// Highest order number that the agent holds.
+    #[prost(uint64, tag = "14")]
+    pub orders_seen: u64,
 }
 /// News since the versions of the request.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -306,8 +315,15 @@
     pub members: ::prost::alloc::vec::Vec<Member>,
     #[prost(message, repeated, tag = "9")]
     pub orders: ::prost::alloc::vec::Vec<Order>,
-    #[prost(uint64, tag = "10")]
-    pub order_floor: u64,
+    /// Whether a newer run of the same node has taken over.
+    #[prost(bool, tag = "11")]
+    pub superseded: bool,
+    /// Floors of the node's endpoints, by the order of the request.
+    #[prost(uint64, repeated, tag = "12")]
+    pub order_floors: ::prost::alloc::vec::Vec<u64>,
+    /// Open orders that the agent has seen.
+    #[prost(uint64, repeated, tag = "13")]
+    pub open_orders: ::prost::alloc::vec::Vec<u64>,
 }
 /// One keyed record of the configuration; without a value it was removed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
