--- /dev/null
+++ b/examples/stand_in/main.rs
@@ -0,0 +1,82 @@
+//! Stand-ins for model engines and plain services, for tests, quick start and load runs.
+
+mod engine;
+mod engine_http;
+mod service;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use bitternlead::process::{EndSignals, bind, print_ready};
+use tokio_util::sync::CancellationToken;
+
+use crate::engine::{EngineConfig, StandInEngine};
+use crate::service::StandInService;
+
+/// Run stand-in engines and services on loopback.
+#[derive(FromArgs)]
+struct Options {
+    /// number of engines (1)
+    #[argh(option, default = "1")]
+    engines: usize,
+    /// number of services (0)
+    #[argh(option, default = "0")]
+    services: usize,
+    /// first port; the others follow (any)
+    #[argh(option, default = "0")]
+    port: u16,
+    /// KV memory of an engine in tokens (450000)
+    #[argh(option, default = "450_000")]
+    kv_tokens: u64,
+    /// prefill rate in tokens a second (30000)
+    #[argh(option, default = "30_000.0")]
+    prefill_rate: f64,
+    /// all times are divided by this (1)
+    #[argh(option, default = "1.0")]
+    speed: f64,
+    /// models loaded at the start, separated by commas
+    #[argh(option, default = "String::new()")]
+    models: String,
+    /// whether engines refuse orders with an old number
+    #[argh(switch)]
+    checks_orders: bool,
+    /// time that a service takes for a call in milliseconds (0)
+    #[argh(option, default = "0")]
+    service_delay_ms: u64,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let options: Options = argh::from_env();
+    let mut signals = EndSignals::new()?;
+    let cx = CancellationToken::new();
+    let cfg = EngineConfig {
+        kv_tokens: options.kv_tokens,
+        prefill_rate: options.prefill_rate,
+        speed: options.speed,
+        checks_orders: options.checks_orders,
+        models: options.models.split(',').filter(|m| !m.is_empty()).map(str::to_owned).collect(),
+        ..EngineConfig::default()
+    };
+    let mut ready = Vec::new();
+    for number in 0..options.engines + options.services {
+        let port = if options.port == 0 { 0 } else { options.port + number as u16 };
+        let (listener, addr) = bind(SocketAddr::from(([127, 0, 0, 1], port))).await?;
+        let (name, router) = if number < options.engines {
+            let engine = StandInEngine::start(cfg.clone());
+            (format!("engine-{number}"), engine_http::build_router(engine))
+        } else {
+            let delay = Duration::from_millis(options.service_delay_ms);
+            let service = Arc::new(StandInService::new(delay));
+            (format!("service-{}", number - options.engines), service::build_router(service))
+        };
+        tokio::spawn(bitternlead::http::serve(listener, router, cx.clone()));
+        ready.push((name, addr));
+    }
+    let ready: Vec<(&str, SocketAddr)> = ready.iter().map(|(n, a)| (n.as_str(), *a)).collect();
+    print_ready(&ready);
+    signals.next().await;
+    Ok(())
+}
--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -18,11 +18,7 @@
 
 impl Default for AdmissionConfig {
     fn default() -> Self {
-        Self {
-            max_waiting: 512,
-            max_running: 256,
-            overtake_limit: Duration::from_secs(10),
-        }
+        Self { max_waiting: 512, max_running: 256, overtake_limit: Duration::from_secs(10) }
     }
 }
 
@@ -131,12 +127,8 @@
     /// Smaller attempts may overtake one that does not fit, until it has waited too long.
     pub fn step(&mut self, now: Moment, mut free: Tokens, running: usize) -> Vec<Step> {
         let mut steps = Vec::new();
-        let late: Vec<Ticket> = self
-            .queue
-            .values()
-            .filter(|w| now >= w.ask.deadline)
-            .map(|w| w.order.2)
-            .collect();
+        let late: Vec<Ticket> =
+            self.queue.values().filter(|w| now >= w.ask.deadline).map(|w| w.order.2).collect();
         for ticket in late {
             self.leave(ticket);
             steps.push(Step::GiveUp(ticket));
--- a/src/agent/attempts.rs
+++ b/src/agent/attempts.rs
@@ -49,8 +49,7 @@
     pub async fn run(&self, attempt: &Attempt, slot: &Slot, dispatch: Dispatch, body: Bytes) {
         let now = self.node.now();
         let is_service = !dispatch.method.is_empty();
-        let tokens =
-            if is_service { 0 } else { dispatch.prompt_tokens + dispatch.output_tokens };
+        let tokens = if is_service { 0 } else { dispatch.prompt_tokens + dispatch.output_tokens };
         let ask = Ask {
             workspace: dispatch.workspace.as_str().into(),
             weight: u64::from(dispatch.weight),
@@ -173,13 +172,7 @@
         attempt.end(Body::Failed(failed(&attempt.key, reason, true)));
     }
 
-    async fn call_service(
-        &self,
-        attempt: &Attempt,
-        slot: &Slot,
-        dispatch: Dispatch,
-        body: Bytes,
-    ) {
+    async fn call_service(&self, attempt: &Attempt, slot: &Slot, dispatch: Dispatch, body: Bytes) {
         let key = &attempt.key;
         let call = ServiceCall {
             method: dispatch.method.clone(),
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -7,6 +7,7 @@
 pub mod orders;
 pub mod output;
 pub mod role;
+pub mod run;
 pub mod run_once;
 pub mod server;
 pub mod settle;
--- /dev/null
+++ b/src/agent/run.rs
@@ -0,0 +1,108 @@
+//! Starts and ends an agent.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use slog::Logger;
+use smol_str::SmolStr;
+use tokio_util::sync::CancellationToken;
+
+use super::admission::AdmissionConfig;
+use super::attempts::AttemptRunner;
+use super::orders::OrderDesk;
+use super::role::AgentRole;
+use super::run_once::RunOnce;
+use super::server::AgentHandler;
+use super::settle::Settler;
+use super::slot::Slot;
+use super::sweep;
+use crate::control_client::ControlClient;
+use crate::event;
+use crate::http;
+use crate::node::{Node, NodeParts};
+use crate::process::{self, EndSignals, RunError};
+use crate::settings::AgentSettings;
+use crate::wire::link::LinkConfig;
+use crate::wire::server;
+
+/// Time for last answers and records after a drain.
+const LAST_WORDS: Duration = Duration::from_millis(300);
+
+/// Runs an agent until it is told to end.
+///
+/// # Errors
+/// An address could not be bound or signals could not be taken.
+pub async fn run(settings: AgentSettings, log: Logger) -> Result<(), RunError> {
+    let mut signals = EndSignals::new()?;
+    let common = settings.common.clone();
+    let (listener, addr) = process::bind(settings.listen).await?;
+    let (admin_listener, admin_addr) = process::bind(common.admin_listen).await?;
+    let cx = CancellationToken::new();
+    let link = LinkConfig {
+        node: common.node.to_string(),
+        role: "agent".into(),
+        max_frame: common.max_frame,
+        ..LinkConfig::default()
+    };
+    let control = ControlClient::new(settings.control.clone(), link.clone(), cx.clone());
+    let node = Arc::new(Node::new(NodeParts {
+        name: common.node.clone(),
+        role: "agent",
+        zone: common.zone.clone(),
+        address: settings.advertise.unwrap_or(addr).to_string(),
+        control: Arc::new(control),
+        log: log.clone(),
+    }));
+    let slots = build_slots(&settings);
+    for slot in slots.values() {
+        tokio::spawn(sweep::run_sweep(Arc::clone(&node), Arc::clone(slot), cx.clone()));
+    }
+    let (orders, queue) = OrderDesk::new(Arc::clone(&node));
+    let orders = Arc::new(orders);
+    tokio::spawn(Arc::clone(&orders).run(queue, slots.clone(), cx.clone()));
+    let runner = Arc::new(AttemptRunner {
+        node: Arc::clone(&node),
+        once: Mutex::new(RunOnce::default()),
+        settler: Settler::new(Arc::clone(&node), cx.clone()),
+    });
+    let handler = Arc::new(AgentHandler::new(runner, slots.clone(), cx.clone()));
+    let serving = {
+        let (handler, log, cx) = (Arc::clone(&handler), log.clone(), cx.clone());
+        server::serve(listener, handler, link, log, cx)
+    };
+    tokio::spawn(serving);
+    let role = AgentRole { node: Arc::clone(&node), slots, orders, asked: Mutex::default() };
+    let sync = tokio::spawn({
+        let (node, cx) = (Arc::clone(&node), cx.clone());
+        async move { node.run_sync(&role, cx).await }
+    });
+    let admin = http::add_probes(viz::Router::new(), node.readiness.clone(), node.metrics.clone());
+    tokio::spawn(http::serve(admin_listener, admin, cx.clone()));
+    event!(log, ProcessStarted, "address" => addr.to_string());
+    process::print_ready(&[("agent", addr), ("admin", admin_addr)]);
+    signals.next().await;
+    node.readiness.set(false);
+    node.draining.cancel();
+    let limit = Duration::from_millis(common.drain_limit_ms);
+    process::drain(&log, &mut signals, limit, || handler.under_way()).await;
+    tokio::time::sleep(LAST_WORDS).await;
+    cx.cancel();
+    sync.abort();
+    tokio::time::sleep(LAST_WORDS).await;
+    event!(log, ProcessStopped);
+    Ok(())
+}
+
+fn build_slots(settings: &AgentSettings) -> HashMap<SmolStr, Arc<Slot>> {
+    let cfg = AdmissionConfig {
+        max_waiting: settings.max_waiting,
+        max_running: settings.max_running,
+        ..AdmissionConfig::default()
+    };
+    let build = |(name, addr): &(SmolStr, std::net::SocketAddr)| {
+        (name.clone(), Arc::new(Slot::new(name.clone(), *addr, cfg.clone())))
+    };
+    settings.endpoints.iter().map(build).collect()
+}
--- a/src/agent/settle.rs
+++ b/src/agent/settle.rs
@@ -41,7 +41,7 @@
         };
         self.settle(Settle {
             workspace: dispatch.workspace.clone(),
-            key: dispatch.idempotency_key.clone(),
+            key: dispatch.claim_key.clone(),
             claim: dispatch.claim,
             outcome: DONE.into(),
             status: u32::from(answer.status),
--- a/src/agent/slot.rs
+++ b/src/agent/slot.rs
@@ -164,8 +164,7 @@
     pub fn take_report(&self, now: Moment, report: EngineLoad) -> Vec<String> {
         let mut state = self.state.lock();
         let first = !state.fit;
-        let orphans: HashSet<String> =
-            state.ledger.orphans(&report.running).into_iter().collect();
+        let orphans: HashSet<String> = state.ledger.orphans(&report.running).into_iter().collect();
         let sure: Vec<String> =
             orphans.iter().filter(|o| first || state.suspects.contains(*o)).cloned().collect();
         state.suspects = orphans;
--- a/src/agent/sweep.rs
+++ b/src/agent/sweep.rs
@@ -38,10 +38,12 @@
     }
 }
 
-/// Looks once at an endpoint; false when it does not answer.
+/// Looks once at an endpoint; false when it does not answer or the inventory lacks it.
 pub async fn sweep_once(node: &Node, slot: &Slot) -> bool {
-    let kind = node.config().servers.get(&slot.name).map(|s| s.kind);
-    if kind == Some(ServerKind::Service) {
+    let Some(kind) = node.config().servers.get(&slot.name).map(|s| s.kind) else {
+        return false;
+    };
+    if kind == ServerKind::Service {
         let healthy = slot.service.probe().await;
         if healthy {
             slot.open_service();
--- a/src/config/fleet_config.rs
+++ b/src/config/fleet_config.rs
@@ -204,10 +204,8 @@
     current: &[ConfigRecord],
     wanted: &BTreeMap<String, String>,
 ) -> Vec<ConfigRecord> {
-    let held: BTreeMap<&str, &str> = current
-        .iter()
-        .filter_map(|r| Some((r.key.as_str(), r.value.as_deref()?)))
-        .collect();
+    let held: BTreeMap<&str, &str> =
+        current.iter().filter_map(|r| Some((r.key.as_str(), r.value.as_deref()?))).collect();
     let mut changes = Vec::new();
     for (key, value) in wanted {
         if held.get(key.as_str()) != Some(&value.as_str()) {
--- a/src/config/rules.rs
+++ b/src/config/rules.rs
@@ -7,9 +7,7 @@
 
 use super::fields::Fields;
 use super::inventory::{read_name, smol_list};
-use super::model::{
-    CallPattern, FleetLimits, Model, Priority, Schedule, Service, Workspace,
-};
+use super::model::{CallPattern, FleetLimits, Model, Priority, Schedule, Service, Workspace};
 use super::toml_file;
 use crate::findings::{Findings, Place};
 
@@ -212,12 +210,7 @@
     };
     let limits = FleetLimits {
         loads_at_once: number("loads_at_once", 1, 1000, base.loads_at_once),
-        long_prompt_tokens: number(
-            "long_prompt_tokens",
-            1000,
-            10_000_000,
-            base.long_prompt_tokens,
-        ),
+        long_prompt_tokens: number("long_prompt_tokens", 1000, 10_000_000, base.long_prompt_tokens),
         long_share_percent: number("long_share_percent", 1, 90, base.long_share_percent),
         retry_percent: number("retry_percent", 0, 100, base.retry_percent),
     };
--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -31,12 +31,7 @@
 }
 
 fn outcome(result: &str, number: Index, detail: &str) -> Outcome {
-    Outcome {
-        result: result.into(),
-        number,
-        detail: detail.into(),
-        ..Outcome::default()
-    }
+    Outcome { result: result.into(), number, detail: detail.into(), ..Outcome::default() }
 }
 
 impl Claims {
@@ -92,8 +87,8 @@
             return outcome("rejected", held.number, "the key has a newer claim");
         }
         let recorded = held.settled.as_ref().map(|s| s.outcome.as_str());
-        let accepts = matches!((recorded, settle.outcome.as_str()),
-            (None, _) | (Some(UNKNOWN), DONE));
+        let accepts =
+            matches!((recorded, settle.outcome.as_str()), (None, _) | (Some(UNKNOWN), DONE));
         if accepts {
             held.settled = Some(settle);
         }
@@ -159,9 +154,8 @@
     match &held.settled {
         None => Some(outcome("pending", held.number, "")),
         Some(settled) if settled.outcome == NOT_RUN => None,
-        Some(settled) => Some(Outcome {
-            settled: Some(settled.clone()),
-            ..outcome("exists", held.number, "")
-        }),
+        Some(settled) => {
+            Some(Outcome { settled: Some(settled.clone()), ..outcome("exists", held.number, "") })
+        }
     }
 }
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -321,7 +321,8 @@
             event!(self.log, MembersChanged, "replicas" => self.state.replicas.len());
         }
         if let Some((proposed_in, reply)) = self.pending.remove(&index) {
-            let answer = if proposed_in == term { Answer::Done(outcome) } else { self.not_leader() };
+            let answer =
+                if proposed_in == term { Answer::Done(outcome) } else { self.not_leader() };
             faults::reach("control.answer");
             let _ = reply.send(answer);
         }
@@ -371,8 +372,12 @@
     fn log_roster(&mut self) {
         for event in self.roster.take_events() {
             match event {
-                RosterEvent::Joined(e) => event!(self.log, EndpointJoined, "endpoint" => e.as_str()),
-                RosterEvent::Leaving(e) => event!(self.log, EndpointLeaving, "endpoint" => e.as_str()),
+                RosterEvent::Joined(e) => {
+                    event!(self.log, EndpointJoined, "endpoint" => e.as_str())
+                }
+                RosterEvent::Leaving(e) => {
+                    event!(self.log, EndpointLeaving, "endpoint" => e.as_str())
+                }
                 RosterEvent::Lost(e) => event!(self.log, EndpointLost, "endpoint" => e.as_str()),
             }
         }
--- a/src/control/log_file.rs
+++ b/src/control/log_file.rs
@@ -60,10 +60,8 @@
         let Some(body) = whole_frame(&data[at..]) else {
             return end_at(data, at, content);
         };
-        let records = parse_records(body).map_err(|reason| LogDamage {
-            offset: at as u64,
-            reason,
-        })?;
+        let records =
+            parse_records(body).map_err(|reason| LogDamage { offset: at as u64, reason })?;
         content.records.extend(records);
         at += HEADER + body.len();
         content.valid_len = at as u64;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod placement;
 pub mod reports;
 pub mod roster;
+pub mod run;
 pub mod server;
 pub mod state;
 pub mod store;
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -102,6 +102,11 @@
         &self.nodes
     }
 
+    /// Number of entries that are present.
+    pub fn entries(&self) -> u64 {
+        self.nodes.values().filter(|n| n.role == "entry" && !n.leaving).count() as u64
+    }
+
     /// Members that are present.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values().filter(|m| !m.gone)
--- /dev/null
+++ b/src/control/run.rs
@@ -0,0 +1,184 @@
+//! Starts and ends a control replica.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::{Sender, channel};
+use std::time::Duration;
+
+use slog::Logger;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::core::{Core, CoreConfig, CoreView, Input};
+use super::peers::PeerSender;
+use super::roster::RosterConfig;
+use super::state::ControlState;
+use super::store::Store;
+use super::{operators, server};
+use crate::event;
+use crate::http::{self, Readiness};
+use crate::metrics::Metrics;
+use crate::process::{self, EndSignals, RunError};
+use crate::raft::{Raft, RaftConfig};
+use crate::settings::ControlSettings;
+use crate::wire::envelope::Body;
+use crate::wire::link::{Link, LinkConfig};
+use crate::wire::{Join, Replica};
+
+/// Pause between tries to join a cluster.
+const JOIN_PAUSE: Duration = Duration::from_millis(300);
+
+/// Interval at which metrics and readiness are refreshed.
+const METRICS_PAUSE: Duration = Duration::from_millis(250);
+
+/// Runs a control replica until it is told to end.
+///
+/// # Errors
+/// The data folder could not be used, or an address could not be bound.
+pub async fn run(settings: ControlSettings, log: Logger) -> Result<(), RunError> {
+    let mut signals = EndSignals::new()?;
+    let common = settings.common.clone();
+    let opened = Store::open(&settings.data)?;
+    if opened.cut > 0 {
+        event!(log, LogTailCut, "bytes" => opened.cut);
+    }
+    let (listener, addr) = process::bind(settings.listen).await?;
+    let (operators_listener, operators_addr) = process::bind(settings.operators_listen).await?;
+    let (admin_listener, admin_addr) = process::bind(common.admin_listen).await?;
+    let cx = CancellationToken::new();
+    let link = LinkConfig {
+        node: common.node.to_string(),
+        role: "control".into(),
+        max_frame: common.max_frame,
+        ..LinkConfig::default()
+    };
+    let address = settings.advertise.unwrap_or(addr).to_string();
+    let own = Replica {
+        id: opened.store.id(),
+        address: address.clone(),
+        operators: operators_addr.to_string(),
+        voter: false,
+        zone: common.zone.to_string(),
+    };
+    let state = match &opened.found.snapshot {
+        Some(data) => ControlState::decode(data).map_err(|source| RunError::Snapshot { source })?,
+        None => ControlState::default(),
+    };
+    let raft_cfg = RaftConfig {
+        election_timeout: Duration::from_millis(settings.election_ms),
+        heartbeat: Duration::from_millis(settings.heartbeat_ms),
+        ..RaftConfig::default()
+    };
+    let raft = Raft::new(own.id, raft_cfg, rand::random(), Duration::ZERO, opened.found);
+    let peers = PeerSender::new(Handle::current(), link.clone(), address, cx.clone());
+    let core_cfg = CoreConfig {
+        lease: Duration::from_millis(settings.lease_ms),
+        snapshot_entries: settings.snapshot_entries,
+        roster: RosterConfig {
+            settle: Duration::from_millis(settings.settle_ms),
+            ..RosterConfig::default()
+        },
+    };
+    let core = Core::new(core_cfg, own.clone(), raft, opened.store, state, peers, log.clone());
+    let (tx, rx) = channel();
+    let thread = std::thread::spawn(move || core.run(rx));
+    let handler = server::build_handler(tx.clone());
+    tokio::spawn(crate::wire::server::serve(
+        listener,
+        handler,
+        link.clone(),
+        log.clone(),
+        cx.clone(),
+    ));
+    tokio::spawn(join_cluster(tx.clone(), own, settings.join.clone(), link, cx.clone()));
+    let router = operators::build_router(tx.clone(), settings.operator_token.clone());
+    tokio::spawn(http::serve(operators_listener, router, cx.clone()));
+    let (readiness, metrics) = (Readiness::default(), Arc::new(Metrics::default()));
+    tokio::spawn(watch(tx.clone(), readiness.clone(), Arc::clone(&metrics), cx.clone()));
+    let admin = http::add_probes(viz::Router::new(), readiness.clone(), metrics);
+    tokio::spawn(http::serve(admin_listener, admin, cx.clone()));
+    event!(log, ProcessStarted, "address" => addr.to_string());
+    process::print_ready(&[
+        ("control", addr),
+        ("operators", operators_addr),
+        ("admin", admin_addr),
+    ]);
+    signals.next().await;
+    event!(log, ProcessDraining);
+    readiness.set(false);
+    let _ = tx.send(Input::Stop);
+    let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+    cx.cancel();
+    event!(log, ProcessStopped);
+    Ok(())
+}
+
+async fn read<T: Send + 'static>(
+    core: &Sender<Input>,
+    f: impl FnOnce(&CoreView<'_>) -> T + Send + 'static,
+) -> Option<T> {
+    let (tx, rx) = oneshot::channel();
+    let read = Box::new(move |view: CoreView<'_>| {
+        let _ = tx.send(f(&view));
+    });
+    core.send(Input::Read(read)).ok()?;
+    rx.await.ok()
+}
+
+async fn watch(
+    core: Sender<Input>,
+    readiness: Readiness,
+    metrics: Arc<Metrics>,
+    cx: CancellationToken,
+) {
+    while !cx.is_cancelled() {
+        let seen = read(&core, |view| {
+            let knows_leader = view.raft.leader().is_some();
+            let version = view.state.config.version();
+            (knows_leader, view.raft.is_leader(), view.state.applied, version)
+        });
+        let Some((knows_leader, leads, applied, version)) = seen.await else { return };
+        readiness.set(knows_leader);
+        metrics.leader.set(i64::from(leads));
+        metrics.applied_index.set(applied);
+        metrics.config_version.set(version);
+        sleep(METRICS_PAUSE).await;
+    }
+}
+
+/// Asks the other replicas to be taken in, until this replica is part of a cluster.
+async fn join_cluster(
+    core: Sender<Input>,
+    own: Replica,
+    others: Vec<SocketAddr>,
+    link: LinkConfig,
+    cx: CancellationToken,
+) {
+    while !cx.is_cancelled() {
+        let id = own.id;
+        let in_cluster = read(&core, move |view| view.raft.replicas().iter().any(|r| r.id == id));
+        match in_cluster.await {
+            Some(false) => {}
+            _ => return,
+        }
+        for addr in &others {
+            ask_to_join(*addr, &own, &link, &cx).await;
+        }
+        sleep(JOIN_PAUSE).await;
+    }
+}
+
+async fn ask_to_join(
+    addr: SocketAddr,
+    own: &Replica,
+    cfg: &LinkConfig,
+    cx: &CancellationToken,
+) -> bool {
+    let Ok(link) = Link::connect(addr, cfg, cx).await else { return false };
+    let join = Join { replica: Some(own.clone()), ask_only: false };
+    let answer = link.ask(Body::Join(join), cfg.connect_timeout).await;
+    link.close();
+    matches!(answer, Ok(Body::JoinReply(reply)) if reply.accepted)
+}
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -54,9 +54,8 @@
     }
 
     fn tell_cluster(&self, conn: &Conn, call: u64) {
-        let wrap = |holds_cluster| {
-            Body::JoinReply(JoinReply { holds_cluster, ..JoinReply::default() })
-        };
+        let wrap =
+            |holds_cluster| Body::JoinReply(JoinReply { holds_cluster, ..JoinReply::default() });
         let read = |tx: oneshot::Sender<Answer<bool>>| {
             Input::Read(Box::new(move |view: CoreView<'_>| {
                 let _ = tx.send(Answer::Done(!view.raft.replicas().is_empty()));
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -10,9 +10,7 @@
 use super::config_records::ConfigRecords;
 use super::orders::Orders;
 use crate::ids::{Index, Term};
-use crate::wire::{
-    Command, Entry, Members, OperationState, Outcome, Replica, Snapshot, command,
-};
+use crate::wire::{Command, Entry, Members, OperationState, Outcome, Replica, Snapshot, command};
 
 /// Operations whose first answer is remembered.
 const MOST_OPERATIONS: usize = 10_000;
--- a/src/control/store.rs
+++ b/src/control/store.rs
@@ -94,8 +94,7 @@
             log.sync_all().context(IoSnafu { path: &path })?;
         }
         let found = replay(read.records, snapshot, &path)?;
-        let store =
-            Self { folder: folder.to_owned(), id, log, batch: Vec::new(), _lock: lock };
+        let store = Self { folder: folder.to_owned(), id, log, batch: Vec::new(), _lock: lock };
         Ok(Opened { store, found, cut })
     }
 
@@ -151,7 +150,12 @@
     ///
     /// # Errors
     /// After an error the process has to end; the folder stays readable.
-    pub fn compact(&mut self, snapshot: &[u8], hard: HardState, rest: Vec<Entry>) -> io::Result<()> {
+    pub fn compact(
+        &mut self,
+        snapshot: &[u8],
+        hard: HardState,
+        rest: Vec<Entry>,
+    ) -> io::Result<()> {
         self.sync()?;
         self.replace("snapshot", &frame_snapshot(snapshot))?;
         faults::reach("store.compact.between");
--- a/src/control/sync_desk.rs
+++ b/src/control/sync_desk.rs
@@ -59,7 +59,13 @@
     }
 
     /// Answers every call that has news or has waited for its hold time.
-    pub fn answer(&mut self, now: Moment, confirmed: Moment, state: &ControlState, roster: &Roster) {
+    pub fn answer(
+        &mut self,
+        now: Moment,
+        confirmed: Moment,
+        state: &ControlState,
+        roster: &Roster,
+    ) {
         let versions = Versions {
             config: state.config.version(),
             members: roster.version(),
@@ -88,8 +94,7 @@
             let age = now.saturating_sub(confirmed);
             let left = lease.saturating_sub(age);
             reply.superseded = waiting.superseded;
-            reply.lease_ms =
-                if waiting.superseded { 0 } else { (held + left).as_millis() as u64 };
+            reply.lease_ms = if waiting.superseded { 0 } else { (held + left).as_millis() as u64 };
             let _ = waiting.reply.send(Answer::Done(reply));
         }
         self.waiting = still;
@@ -99,8 +104,7 @@
 fn has_news(sync: &Sync, reply: &SyncReply) -> bool {
     let members = sync.wants_members
         && reply.members_term != 0
-        && (reply.members_term, reply.members_version)
-            != (sync.members_term, sync.members_version);
+        && (reply.members_term, reply.members_version) != (sync.members_term, sync.members_version);
     reply.config_version != sync.config_version || members || !reply.orders.is_empty()
 }
 
@@ -112,6 +116,7 @@
         reply.records = news.records;
     }
     if sync.wants_members {
+        reply.entries = roster.entries();
         let news = roster.since(now, sync.members_term, sync.members_version);
         reply.members_term = news.term;
         reply.members_version = news.version;
--- a/src/engine/http_client.rs
+++ b/src/engine/http_client.rs
@@ -90,9 +90,8 @@
             .map_err(|_| not_reached("timed out".into()))?
             .map_err(|e| not_reached(e.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let (sender, conn) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| not_reached(e.to_string()))?;
+        let (sender, conn) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|e| not_reached(e.to_string()))?;
         tokio::spawn(async move {
             let _ = conn.await;
         });
@@ -104,9 +103,7 @@
     EngineError::Broken { reason: e.to_string() }
 }
 
-pub(super) async fn read_whole(
-    response: Response<Incoming>,
-) -> Result<(u16, Bytes), EngineError> {
+pub(super) async fn read_whole(response: Response<Incoming>) -> Result<(u16, Bytes), EngineError> {
     let status = response.status().as_u16();
     let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await.map_err(broken)?;
     Ok((status, body.to_bytes()))
--- a/src/entry/assembly.rs
+++ b/src/entry/assembly.rs
@@ -68,6 +68,11 @@
         self.next
     }
 
+    /// Whether the attempt's last frame was taken.
+    pub fn is_over(&self) -> bool {
+        self.over
+    }
+
     /// Takes a frame.
     pub fn take(&mut self, body: Body) -> Part {
         if self.over || !self.owns(&body) {
--- /dev/null
+++ b/src/entry/callers.rs
@@ -0,0 +1,473 @@
+//! The callers' HTTP interface.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream;
+use serde_json::json;
+use smol_str::{SmolStr, format_smolstr};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use viz::header::HeaderValue;
+use viz::{Body, Request, RequestExt, Response, Router, StatusCode};
+
+use super::booking::{self, Claimed};
+use super::burn_meter::BurnMeter;
+use super::driver::{Driver, Progress};
+use super::failure::{Failure, Outcome};
+use super::filter::{self, Chain, RequestState};
+use super::openai::{self, AnswerShape, CompletionRequest};
+use super::prefix::PrefixChain;
+use super::prompt_class::PromptClass;
+use super::request::{Job, Work};
+use crate::control::core::wall_ms;
+use crate::event;
+use crate::http::{build, json, read_body};
+use crate::metrics::{ClassLabels, ReasonLabels, RequestLabels};
+use crate::wire::Settle;
+
+/// Header that tells how a request ended.
+pub const OUTCOME_HEADER: &str = "bitternlead-outcome";
+
+/// Header that names the idempotency key of a call.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// Settings of the callers' interface.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallersConfig {
+    /// Largest body in bytes.
+    pub max_body: usize,
+    /// Longest time for a body.
+    pub body_limit: Duration,
+}
+
+impl Default for CallersConfig {
+    fn default() -> Self {
+        Self { max_body: 16 * 1024 * 1024, body_limit: Duration::from_secs(30) }
+    }
+}
+
+/// What the handlers share.
+pub struct Callers {
+    /// Drives requests.
+    pub driver: Arc<Driver>,
+    /// Counts for the burn report.
+    pub burn: Arc<BurnMeter>,
+    /// Settings.
+    pub cfg: CallersConfig,
+    /// Filters before the body.
+    pub head: Chain,
+    /// Filters after the body.
+    pub body: Chain,
+    /// Cancelled when requests under way have to end.
+    pub cx: CancellationToken,
+}
+
+/// A request that is counted until it ends.
+struct Ticket {
+    callers: Arc<Callers>,
+    id: SmolStr,
+    started: Instant,
+}
+
+/// Builds the routes.
+pub fn build_router(callers: Arc<Callers>) -> Router {
+    let completions = {
+        let callers = Arc::clone(&callers);
+        move |req| complete(Arc::clone(&callers), req, false)
+    };
+    let chat = {
+        let callers = Arc::clone(&callers);
+        move |req| complete(Arc::clone(&callers), req, true)
+    };
+    let models = {
+        let callers = Arc::clone(&callers);
+        move |req| list_models(Arc::clone(&callers), req)
+    };
+    let service = move |req| call_service(Arc::clone(&callers), req);
+    Router::new()
+        .post("/v1/completions", completions)
+        .post("/v1/chat/completions", chat)
+        .get("/v1/models", models)
+        .any("/services/:name", service.clone())
+        .any("/services/:name/*", service)
+}
+
+impl Ticket {
+    fn new(callers: &Arc<Callers>) -> Self {
+        let id = format_smolstr!("req-{:016x}{:04x}", rand::random::<u64>(), wall_ms() as u16);
+        callers.driver.node.metrics.in_flight.inc();
+        Self { callers: Arc::clone(callers), id, started: Instant::now() }
+    }
+
+    fn state(&self, req: &Request) -> RequestState {
+        let bearer: Option<String> = req.header("authorization");
+        let driver = &self.callers.driver;
+        RequestState {
+            node: Arc::clone(&driver.node),
+            view: Arc::clone(&driver.view),
+            limits: Arc::clone(&driver.limits),
+            bearer: bearer.and_then(|b| b.strip_prefix("Bearer ").map(str::to_owned)),
+            workspace: None,
+            target: SmolStr::default(),
+            prompt_tokens: 0,
+            permit: None,
+        }
+    }
+
+    async fn read(&self, req: &mut Request) -> Result<Bytes, Failure> {
+        let cfg = &self.callers.cfg;
+        read_body(req, cfg.max_body, cfg.body_limit)
+            .await
+            .map_err(|e| Failure::not_run(e.status(), "bad_body", e.to_string()))
+    }
+
+    fn mark(&self, response: &mut Response, outcome: Outcome) {
+        let headers = response.headers_mut();
+        headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome.name()));
+        if let Ok(id) = HeaderValue::from_str(&self.id) {
+            headers.insert("x-request-id", id);
+        }
+    }
+
+    fn fail(&self, failure: &Failure) -> Response {
+        let driver = &self.callers.driver;
+        let reason = failure.code.to_owned();
+        driver.node.metrics.refusals.get_or_create(&ReasonLabels { reason }).inc();
+        event!(driver.node.log, RequestRefused, "request" => self.id.as_str(),
+            "code" => failure.code, "message" => failure.message.clone());
+        let mut response = json(failure.status, &openai::error_body(failure, &self.id));
+        self.mark(&mut response, failure.outcome);
+        if let Some(after) = failure.retry_after {
+            let seconds = after.as_secs_f64().ceil().max(1.0) as u64;
+            response.headers_mut().insert("retry-after", seconds.into());
+        }
+        response
+    }
+
+    /// Counts the end of a request that passed the filters.
+    fn count(&self, job: &JobFacts, outcome: &str, first_token: Option<Duration>) {
+        let metrics = &self.callers.driver.node.metrics;
+        let class = PromptClass::of(job.prompt_tokens).name().to_owned();
+        let outcome = outcome.to_owned();
+        metrics.requests.get_or_create(&RequestLabels { outcome, class: class.clone() }).inc();
+        if let Some(taken) = first_token {
+            let labels = ClassLabels { class };
+            metrics.first_token.get_or_create(&labels).observe(taken.as_secs_f64());
+        }
+        self.callers.burn.count(&job.workspace, job.prompt_tokens, first_token);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.callers.driver.node.metrics.in_flight.dec();
+    }
+}
+
+/// What is needed of a job after it was handed to the driver.
+struct JobFacts {
+    workspace: Arc<crate::config::Workspace>,
+    prompt_tokens: u64,
+}
+
+async fn complete(callers: Arc<Callers>, mut req: Request, chat: bool) -> viz::Result<Response> {
+    let ticket = Ticket::new(&callers);
+    let mut state = ticket.state(&req);
+    let prepared = prepare_completion(&ticket, &mut req, &mut state, chat).await;
+    let (parsed, job) = match prepared {
+        Ok(prepared) => prepared,
+        Err(failure) => return Ok(ticket.fail(&failure)),
+    };
+    let facts = JobFacts { workspace: job.workspace.clone(), prompt_tokens: job.prompt_tokens };
+    let shape =
+        AnswerShape { id: ticket.id.clone(), model: parsed.model, chat, created: wall_ms() / 1000 };
+    let rx = callers.driver.start(job, 0, callers.cx.clone());
+    Ok(match parsed.stream {
+        true => stream_answer(ticket, facts, shape, rx).await,
+        false => whole_answer(ticket, facts, shape, rx).await,
+    })
+}
+
+async fn prepare_completion(
+    ticket: &Ticket,
+    req: &mut Request,
+    state: &mut RequestState,
+    chat: bool,
+) -> Result<(CompletionRequest, Job), Failure> {
+    filter::run(&ticket.callers.head, state)?;
+    let body = ticket.read(req).await?;
+    let parsed = openai::parse(&body, chat)?;
+    drop(body);
+    state.target = parsed.model.clone();
+    state.prompt_tokens = parsed.prompt_tokens;
+    filter::run(&ticket.callers.body, state)?;
+    let work = Work::Completion { body: parsed.body.clone(), chat };
+    let job = build_job(ticket, state, work, parsed.output_tokens, parsed.chain.clone())?;
+    Ok((parsed, job))
+}
+
+fn build_job(
+    ticket: &Ticket,
+    state: &mut RequestState,
+    work: Work,
+    output_tokens: u64,
+    chain: PrefixChain,
+) -> Result<Job, Failure> {
+    let (Some(workspace), Some(permit)) = (state.workspace.take(), state.permit.take()) else {
+        let text = "the filter chain granted no permit";
+        return Err(Failure::not_run(StatusCode::INTERNAL_SERVER_ERROR, "internal", text));
+    };
+    let deadline = state.node.now() + Duration::from_millis(workspace.deadline_ms);
+    Ok(Job {
+        request: ticket.id.clone(),
+        workspace,
+        target: state.target.clone(),
+        prompt_tokens: state.prompt_tokens,
+        output_tokens,
+        chain,
+        deadline,
+        work,
+        permit,
+    })
+}
+
+async fn whole_answer(
+    ticket: Ticket,
+    facts: JobFacts,
+    shape: AnswerShape,
+    mut rx: mpsc::Receiver<Progress>,
+) -> Response {
+    let mut text = Vec::new();
+    let mut first_token = None;
+    while let Some(progress) = rx.recv().await {
+        match progress {
+            Progress::Data(data) => {
+                first_token.get_or_insert_with(|| ticket.started.elapsed());
+                text.extend_from_slice(&data);
+            }
+            Progress::Head { .. } => {}
+            Progress::Done { finish, tokens } => {
+                ticket.count(&facts, "done", first_token);
+                let text = String::from_utf8_lossy(&text);
+                let answer = shape.whole(&text, &finish, facts.prompt_tokens, tokens);
+                let mut response = json(StatusCode::OK, &answer);
+                ticket.mark(&mut response, Outcome::Done);
+                return response;
+            }
+            Progress::Failed(failure) => {
+                ticket.count(&facts, failure.outcome.name(), None);
+                return ticket.fail(&failure);
+            }
+        }
+    }
+    ticket.fail(&broken())
+}
+
+fn broken() -> Failure {
+    let text = "the request ended without its final answer";
+    Failure::unknown(StatusCode::INTERNAL_SERVER_ERROR, "internal", text)
+}
+
+/// State of a streamed answer.
+struct StreamState {
+    ticket: Ticket,
+    facts: JobFacts,
+    shape: AnswerShape,
+    rx: mpsc::Receiver<Progress>,
+    first: Option<Progress>,
+    first_token: Duration,
+    over: bool,
+}
+
+async fn stream_answer(
+    ticket: Ticket,
+    facts: JobFacts,
+    shape: AnswerShape,
+    mut rx: mpsc::Receiver<Progress>,
+) -> Response {
+    let first = match rx.recv().await {
+        Some(Progress::Failed(failure)) => {
+            ticket.count(&facts, failure.outcome.name(), None);
+            return ticket.fail(&failure);
+        }
+        Some(first) => first,
+        None => return ticket.fail(&broken()),
+    };
+    let mut response = build(StatusCode::OK, "text/event-stream", Bytes::new());
+    if let Ok(id) = HeaderValue::from_str(&ticket.id) {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    let first_token = ticket.started.elapsed();
+    let state =
+        StreamState { ticket, facts, shape, rx, first: Some(first), first_token, over: false };
+    let events = stream::unfold(state, next_event).map(Ok::<Bytes, std::io::Error>);
+    *response.body_mut() = Body::from_stream(events);
+    response
+}
+
+async fn next_event(mut state: StreamState) -> Option<(Bytes, StreamState)> {
+    if state.over {
+        return None;
+    }
+    let progress = match state.first.take() {
+        Some(first) => Some(first),
+        None => state.rx.recv().await,
+    };
+    let text = match progress {
+        Some(Progress::Data(data)) => state.shape.event(&String::from_utf8_lossy(&data)),
+        Some(Progress::Head { .. }) => String::new(),
+        Some(Progress::Done { finish, tokens }) => {
+            state.over = true;
+            state.ticket.count(&state.facts, "done", Some(state.first_token));
+            state.shape.last_events(&finish, state.facts.prompt_tokens, tokens)
+        }
+        Some(Progress::Failed(failure)) => state.fail(&failure),
+        None => state.fail(&broken()),
+    };
+    Some((Bytes::from(text), state))
+}
+
+impl StreamState {
+    /// The last event of a stream that failed; it is never followed by `[DONE]`.
+    fn fail(&mut self, failure: &Failure) -> String {
+        self.over = true;
+        self.ticket.count(&self.facts, failure.outcome.name(), None);
+        format!("data: {}\n\n", openai::error_body(failure, &self.ticket.id))
+    }
+}
+
+async fn list_models(callers: Arc<Callers>, req: Request) -> viz::Result<Response> {
+    let ticket = Ticket::new(&callers);
+    let mut state = ticket.state(&req);
+    if let Err(failure) = filter::run(&callers.head, &mut state) {
+        return Ok(ticket.fail(&failure));
+    }
+    let config = callers.driver.node.config();
+    let view = &callers.driver.view;
+    let served = config.models.keys().filter(|m| view.serves(m));
+    let data: Vec<_> = served
+        .map(|m| json!({ "id": m.as_str(), "object": "model", "owned_by": "bitternlead" }))
+        .collect();
+    let mut response = json(StatusCode::OK, &json!({ "object": "list", "data": data }));
+    ticket.mark(&mut response, Outcome::Done);
+    Ok(response)
+}
+
+async fn call_service(callers: Arc<Callers>, mut req: Request) -> viz::Result<Response> {
+    let ticket = Ticket::new(&callers);
+    let mut state = ticket.state(&req);
+    let job = match prepare_service(&ticket, &mut req, &mut state).await {
+        Ok(job) => job,
+        Err(failure) => return Ok(ticket.fail(&failure)),
+    };
+    // A booking goes on to its recorded end even if its caller leaves.
+    let finished = tokio::spawn(run_service(ticket, job));
+    match finished.await {
+        Ok(response) => Ok(response),
+        Err(_) => Ok(json(StatusCode::INTERNAL_SERVER_ERROR, &json!({ "error": "internal" }))),
+    }
+}
+
+async fn run_service(ticket: Ticket, job: Job) -> Response {
+    let callers = Arc::clone(&ticket.callers);
+    let node = Arc::clone(&callers.driver.node);
+    let facts = JobFacts { workspace: job.workspace.clone(), prompt_tokens: 0 };
+    if job.is_idempotent() {
+        let rx = callers.driver.start(job, 0, callers.cx.clone());
+        return service_answer(&ticket, &facts, rx).await.unwrap_or_else(|f| ticket.fail(&f));
+    }
+    let claim = match booking::claim(&node, &job).await {
+        Claimed::Granted(claim) => claim,
+        Claimed::Answered(settled) => return replay(&ticket, settled),
+        Claimed::Failed(failure) => return ticket.fail(&failure),
+    };
+    let releasing = booking::Release::of(&job, claim);
+    let rx = callers.driver.start(job, claim, callers.cx.clone());
+    match service_answer(&ticket, &facts, rx).await {
+        Ok(response) => response,
+        Err(failure) => {
+            if failure.outcome == Outcome::NotRun {
+                releasing.spawn(&node);
+            } else {
+                event!(node.log, OutcomeUnknown, "request" => ticket.id.as_str());
+            }
+            ticket.fail(&failure)
+        }
+    }
+}
+
+async fn prepare_service(
+    ticket: &Ticket,
+    req: &mut Request,
+    state: &mut RequestState,
+) -> Result<Job, Failure> {
+    filter::run(&ticket.callers.head, state)?;
+    let rest = req.uri().path().strip_prefix("/services/").unwrap_or_default().to_owned();
+    let (name, path) = match rest.split_once('/') {
+        Some((name, path)) => (name.to_owned(), format!("/{path}")),
+        None => (rest, "/".to_owned()),
+    };
+    let body = ticket.read(req).await?;
+    state.target = format_smolstr!("service:{name}");
+    filter::run(&ticket.callers.body, state)?;
+    let method = req.method().as_str().to_owned();
+    let idempotent = state.node.config().is_idempotent(&name, &method, &path);
+    let given: Option<String> = req.header(KEY_HEADER);
+    let key = match given {
+        Some(key) if key.is_empty() || key.len() > 255 => {
+            let text = "Idempotency-Key has to have 1 to 255 bytes";
+            return Err(Failure::not_run(StatusCode::BAD_REQUEST, "bad_key", text));
+        }
+        Some(key) => key,
+        None => ticket.id.to_string(),
+    };
+    let path = match req.uri().query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path,
+    };
+    let content_type = req.header("content-type").unwrap_or_default();
+    let work = Work::Service { method, path, content_type, body, key, idempotent };
+    build_job(ticket, state, work, 0, PrefixChain::default())
+}
+
+async fn service_answer(
+    ticket: &Ticket,
+    facts: &JobFacts,
+    mut rx: mpsc::Receiver<Progress>,
+) -> Result<Response, Failure> {
+    let mut head = (502, String::new());
+    let mut body = Vec::new();
+    while let Some(progress) = rx.recv().await {
+        match progress {
+            Progress::Head { status, content_type } => head = (status, content_type),
+            Progress::Data(data) => body.extend_from_slice(&data),
+            Progress::Done { .. } => {
+                ticket.count(facts, "done", Some(ticket.started.elapsed()));
+                return Ok(answer(ticket, head.0, &head.1, body));
+            }
+            Progress::Failed(failure) => {
+                ticket.count(facts, failure.outcome.name(), None);
+                return Err(failure);
+            }
+        }
+    }
+    Err(broken())
+}
+
+fn answer(ticket: &Ticket, status: u16, content_type: &str, body: impl Into<Bytes>) -> Response {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = build(status, content_type, body);
+    ticket.mark(&mut response, Outcome::Done);
+    response
+}
+
+/// The recorded answer of an earlier call with the same key.
+fn replay(ticket: &Ticket, settled: Settle) -> Response {
+    let status = u16::try_from(settled.status).unwrap_or(502);
+    let mut response = answer(ticket, status, &settled.content_type, settled.body);
+    response.headers_mut().insert("bitternlead-replayed", HeaderValue::from_static("true"));
+    response
+}
--- /dev/null
+++ b/src/entry/filter/concurrency.rs
@@ -0,0 +1,30 @@
+//! Refuses requests over their workspace's limits.
+
+use std::time::Duration;
+
+use viz::StatusCode;
+
+use super::{Filter, RequestState};
+use crate::entry::failure::Failure;
+use crate::entry::limits::OverLimit;
+
+/// Needs room within the workspace's rate and concurrency.
+pub struct WithinLimits;
+
+impl Filter for WithinLimits {
+    fn check(&self, state: &mut RequestState) -> Result<(), Failure> {
+        let Some(workspace) = &state.workspace else { return Ok(()) };
+        let share = state.view.share();
+        let admitted = state.limits.admit(state.node.now(), workspace, share);
+        let (code, wait) = match admitted {
+            Ok(permit) => {
+                state.permit = Some(permit);
+                return Ok(());
+            }
+            Err(OverLimit::Rate(wait)) => ("rate_limit", wait.max(Duration::from_secs(1))),
+            Err(OverLimit::Concurrency) => ("concurrency_limit", Duration::from_secs(1)),
+        };
+        let text = format!("workspace {} is over its limit", workspace.name);
+        Err(Failure::not_run(StatusCode::TOO_MANY_REQUESTS, code, text).after(wait))
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,9 +1,21 @@
 //! The entry role: callers' HTTP, the filter chain, routing, attempts and streaming.
 
 pub mod assembly;
+pub mod attempt;
+pub mod booking;
 pub mod breaker;
+pub mod burn_meter;
+pub mod callers;
+pub mod driver;
+pub mod failure;
+pub mod filter;
+pub mod fleet_view;
 pub mod limits;
+pub mod links;
+pub mod openai;
 pub mod prefix;
 pub mod prompt_class;
+pub mod request;
 pub mod retry;
 pub mod router;
+pub mod run;
--- a/src/http.rs
+++ b/src/http.rs
@@ -49,11 +49,7 @@
 }
 
 /// Reads a whole body within a size and a time.
-pub async fn read_body(
-    req: &mut Request,
-    max: usize,
-    limit: Duration,
-) -> Result<Bytes, BodyError> {
+pub async fn read_body(req: &mut Request, max: usize, limit: Duration) -> Result<Bytes, BodyError> {
     let body = std::mem::take(req.body_mut());
     let collected = timeout(limit, Limited::new(body, max).collect()).await;
     match collected {
@@ -73,8 +69,7 @@
 /// # Errors
 /// A text with the line and column of the problem.
 pub fn parse_json<T: DeserializeOwned>(data: &[u8]) -> Result<T, String> {
-    serde_json::from_slice(data)
-        .map_err(|e| format!("the body is not the expected JSON: {e}"))
+    serde_json::from_slice(data).map_err(|e| format!("the body is not the expected JSON: {e}"))
 }
 
 /// A JSON answer.
@@ -128,7 +123,28 @@
             viz::Result::Ok(build(StatusCode::OK, kind, metrics.encode()))
         }
     };
-    router.get("/healthz", health).get("/readyz", ready).get("/metrics", metrics)
+    let router = router.get("/healthz", health).get("/readyz", ready).get("/metrics", metrics);
+    add_fault_control(router)
+}
+
+#[cfg(not(feature = "failpoints"))]
+fn add_fault_control(router: Router) -> Router {
+    router
+}
+
+/// Lets tests set fail points of a running process: the body is `NAME=ACTIONS`.
+#[cfg(feature = "failpoints")]
+fn add_fault_control(router: Router) -> Router {
+    router.post("/faults", |mut req: Request| async move {
+        let limit = Duration::from_secs(1);
+        let body = read_body(&mut req, 4096, limit).await.unwrap_or_default();
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let set = text.split_once('=').map(|(name, actions)| fail::cfg(name, actions));
+        viz::Result::Ok(match set {
+            Some(Ok(())) => build(StatusCode::OK, "text/plain", "set\n"),
+            _ => build(StatusCode::BAD_REQUEST, "text/plain", "not like NAME=ACTIONS\n"),
+        })
+    })
 }
 
 /// Longest time for the headers of a request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,9 @@
 //! bitternlead: a serving layer for model prompts of very different lengths.
 
 pub mod agent;
+pub mod burn;
+pub mod cli;
+pub mod commands;
 pub mod config;
 pub mod config_lease;
 pub mod control;
@@ -16,5 +19,8 @@
 pub mod ids;
 pub mod metrics;
 pub mod node;
+pub mod operator;
+pub mod process;
 pub mod raft;
+pub mod settings;
 pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,99 @@
+//! The bitternlead command: parses, runs, and maps the result to an exit code.
+
+use std::time::Duration;
+
+use bitternlead::cli::{Cli, Command};
+use bitternlead::commands::{self, CommandError};
+use bitternlead::events::build_logger;
+use bitternlead::exit_codes::ExitCode;
+use bitternlead::findings::Findings;
+use bitternlead::process::RunError;
+use bitternlead::settings::{
+    AgentSettings, CommonSettings, ControlSettings, EntrySettings, SettingSource,
+};
+use bitternlead::{agent, control, entry};
+use slog::Logger;
+use tokio::runtime::Builder;
+
+fn main() -> std::process::ExitCode {
+    let scenario = fail::FailScenario::setup();
+    let cli: Cli = argh::from_env();
+    let code = run(cli.command);
+    scenario.teardown();
+    code.into()
+}
+
+fn run(command: Command) -> ExitCode {
+    match command {
+        Command::Entry(o) => match EntrySettings::read(source(o.into_flags())) {
+            Ok(s) => run_role("entry", &s.common.clone(), |log| entry::run::run(s, log)),
+            Err(findings) => refuse(&findings),
+        },
+        Command::Agent(o) => match AgentSettings::read(source(o.into_flags())) {
+            Ok(s) => run_role("agent", &s.common.clone(), |log| agent::run::run(s, log)),
+            Err(findings) => refuse(&findings),
+        },
+        Command::Control(o) => match ControlSettings::read(source(o.into_flags())) {
+            Ok(s) => run_role("control", &s.common.clone(), |log| control::run::run(s, log)),
+            Err(findings) => refuse(&findings),
+        },
+        Command::Check(o) => finish(commands::check(o)),
+        Command::Init(o) => run_command(commands::init(o)),
+        Command::Apply(o) => run_command(commands::apply(o)),
+        Command::Status(o) => run_command(commands::status(o)),
+        Command::Drain(o) => run_command(commands::drain(o)),
+        Command::Order(o) => run_command(commands::order(o)),
+        Command::Burn(o) => run_command(commands::burn(o)),
+        Command::Remove(o) => run_command(commands::remove(o)),
+    }
+}
+
+fn source(flags: Vec<(&'static str, Option<String>)>) -> SettingSource {
+    SettingSource::new(flags, |name| std::env::var(name).ok())
+}
+
+fn refuse(findings: &Findings) -> ExitCode {
+    eprint!("bitternlead: settings refused, nothing was started\n{findings}");
+    ExitCode::BadInput
+}
+
+fn run_role<F>(
+    role: &'static str,
+    common: &CommonSettings,
+    start: impl FnOnce(Logger) -> F,
+) -> ExitCode
+where
+    F: Future<Output = Result<(), RunError>>,
+{
+    let (log, _guard) = build_logger(common.log_form, common.log_level, role, &common.node);
+    let Ok(runtime) = Builder::new_multi_thread().enable_all().build() else {
+        eprintln!("bitternlead: cannot start threads");
+        return ExitCode::Failure;
+    };
+    let ended = runtime.block_on(start(log));
+    runtime.shutdown_timeout(Duration::from_millis(200));
+    match ended {
+        Ok(()) => ExitCode::Success,
+        Err(e) => {
+            eprintln!("bitternlead: {e}");
+            e.exit_code()
+        }
+    }
+}
+
+fn run_command(command: impl Future<Output = Result<ExitCode, CommandError>>) -> ExitCode {
+    match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => finish(runtime.block_on(command)),
+        Err(e) => {
+            eprintln!("bitternlead: cannot start: {e}");
+            ExitCode::Failure
+        }
+    }
+}
+
+fn finish(done: Result<ExitCode, CommandError>) -> ExitCode {
+    done.unwrap_or_else(|e| {
+        eprintln!("bitternlead: {e}");
+        e.exit_code()
+    })
+}
--- a/src/raft/election.rs
+++ b/src/raft/election.rs
@@ -22,8 +22,7 @@
         self.leader = None;
         self.votes.clear();
         self.votes.insert(self.id, true);
-        let ask =
-            PreVote { last_index: self.log.last_index(), last_term: self.log.last_term() };
+        let ask = PreVote { last_index: self.log.last_index(), last_term: self.log.last_term() };
         let term = self.term + 1;
         for id in self.voters() {
             if id != self.id {
--- a/src/raft/membership.rs
+++ b/src/raft/membership.rs
@@ -68,9 +68,8 @@
         }
         let Some(ready) = self.find_ready_learner() else { return };
         let mut replicas = self.log.members().to_vec();
-        let former = replicas
-            .iter()
-            .position(|r| r.voter && r.address == ready.address && r.id != self.id);
+        let former =
+            replicas.iter().position(|r| r.voter && r.address == ready.address && r.id != self.id);
         if let Some(at) = former {
             replicas.remove(at);
         } else {
@@ -82,11 +81,10 @@
     }
 
     fn find_ready_learner(&self) -> Option<Replica> {
-        let learners = self.log.members().iter().filter(|r| !r.voter);
-        learners
-            .filter(|r| self.progress.get(&r.id).is_some_and(|p| p.matched >= self.commit))
-            .next()
-            .cloned()
+        let caught_up = |r: &&Replica| {
+            !r.voter && self.progress.get(&r.id).is_some_and(|p| p.matched >= self.commit)
+        };
+        self.log.members().iter().find(caught_up).cloned()
     }
 
     /// A leader whose own removal is committed steps down.
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -338,13 +338,7 @@
     }
 
     /// Handles the term of a message; false drops the message.
-    fn accept_term(
-        &mut self,
-        now: Moment,
-        from: ReplicaId,
-        term: Term,
-        kind: &peer::Kind,
-    ) -> bool {
+    fn accept_term(&mut self, now: Moment, from: ReplicaId, term: Term, kind: &peer::Kind) -> bool {
         match kind {
             peer::Kind::PreVote(_) => return true,
             peer::Kind::PreVoteReply(m) if m.granted => return true,
--- a/src/raft/replication.rs
+++ b/src/raft/replication.rs
@@ -226,8 +226,7 @@
         progress.round = progress.round.max(round);
         let mut acked: Vec<u64> = Vec::new();
         for id in self.voters() {
-            let round =
-                if id == self.id { self.round } else { self.progress_entry(id).round };
+            let round = if id == self.id { self.round } else { self.progress_entry(id).round };
             acked.push(round);
         }
         acked.sort_unstable_by(|a, b| b.cmp(a));
@@ -243,11 +242,8 @@
     pub(super) fn advance_commit(&mut self, now: Moment) {
         let mut matched: Vec<Index> = Vec::new();
         for id in self.voters() {
-            let index = if id == self.id {
-                self.log.last_index()
-            } else {
-                self.progress_entry(id).matched
-            };
+            let index =
+                if id == self.id { self.log.last_index() } else { self.progress_entry(id).matched };
             matched.push(index);
         }
         matched.sort_unstable_by(|a, b| b.cmp(a));
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -125,6 +125,9 @@
     /// xxh3 of the body.
     #[prost(uint64, tag = "18")]
     pub body_hash: u64,
+    /// Key of the booking's claim.
+    #[prost(string, tag = "19")]
+    pub claim_key: ::prost::alloc::string::String,
 }
 /// Part of the body of a dispatch.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -324,6 +327,9 @@
     /// Open orders that the agent has seen.
     #[prost(uint64, repeated, tag = "13")]
     pub open_orders: ::prost::alloc::vec::Vec<u64>,
+    /// Entries that are present, for shares of workspace limits.
+    #[prost(uint64, tag = "14")]
+    pub entries: u64,
 }
 /// One keyed record of the configuration; without a value it was removed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -104,12 +104,13 @@
             .map_err(|e| fail(e.to_string()))?;
         let _ = stream.set_nodelay(true);
         let mut framed = Framed::new(stream, EnvelopeCodec::new(cfg.max_frame));
-        let hello = Hello {
-            version: PROTOCOL_VERSION,
-            node: cfg.node.clone(),
-            role: cfg.role.clone(),
-        };
+        let hello =
+            Hello { version: PROTOCOL_VERSION, node: cfg.node.clone(), role: cfg.role.clone() };
         let first = Envelope { call: 0, body: Some(Body::Hello(hello)) };
+        if is_cut("wire.send") || is_cut("wire.receive") {
+            tokio::time::sleep(cfg.connect_timeout).await;
+            return Err(fail("no greeting".into()));
+        }
         framed.send(first).await.map_err(|e| fail(e.to_string()))?;
         let reply = timeout(cfg.connect_timeout, framed.next())
             .await
@@ -195,6 +196,12 @@
         }
     }
 
+    /// Queues a message of this call without waiting; false when it cannot be queued.
+    pub fn post(&self, body: Body) -> bool {
+        let frame = Envelope { call: self.id, body: Some(body) };
+        !self.link.is_closed() && self.link.tx.try_send(frame).is_ok()
+    }
+
     /// Next answer; `None` once the link is lost.
     pub async fn next(&mut self) -> Option<Body> {
         self.rx.recv().await
@@ -272,13 +279,23 @@
     sink.feed(frame).await
 }
 
+/// Whether a test has cut this direction of all links.
+pub(super) fn is_cut(step: &str) -> bool {
+    faults::reach(step) == Some(Fault::Drop)
+}
+
 /// Next frame, or `None` after an error, the end, or too long a silence.
 pub(super) async fn next_frame(
     stream: &mut SplitStream<Framed<TcpStream, EnvelopeCodec>>,
     silence: Duration,
 ) -> Option<Result<Envelope, FrameError>> {
     let due = Instant::now() + silence;
-    tokio::time::timeout_at(due, stream.next()).await.ok().flatten()
+    loop {
+        let frame = tokio::time::timeout_at(due, stream.next()).await.ok().flatten();
+        if frame.is_none() || !is_cut("wire.receive") {
+            return frame;
+        }
+    }
 }
 
 async fn read_replies(
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -13,7 +13,7 @@
 
 use super::envelope::Body;
 use super::frame::{EnvelopeCodec, PROTOCOL_VERSION};
-use super::link::{LinkConfig, next_frame, write_frames};
+use super::link::{LinkConfig, is_cut, next_frame, write_frames};
 use super::{Envelope, Fault, Hello};
 use crate::event;
 
@@ -143,6 +143,10 @@
     let first = timeout(cfg.connect_timeout, framed.next())
         .await
         .map_err(|_| "no greeting in time".to_owned())?;
+    if is_cut("wire.send") || is_cut("wire.receive") {
+        tokio::time::sleep(cfg.silence).await;
+        return Err("no greeting in time".into());
+    }
     let hello = match first {
         Some(Ok(Envelope { body: Some(Body::Hello(h)), .. })) => h,
         Some(Err(e)) => return Err(e.to_string()),
@@ -154,8 +158,7 @@
             hello.version
         ));
     }
-    let own =
-        Hello { version: PROTOCOL_VERSION, node: cfg.node.clone(), role: cfg.role.clone() };
+    let own = Hello { version: PROTOCOL_VERSION, node: cfg.node.clone(), role: cfg.role.clone() };
     let reply = Envelope { call: 0, body: Some(Body::Hello(own)) };
     framed.send(reply).await.map_err(|e| e.to_string())?;
     Ok(hello)
