--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -5,7 +5,9 @@
 
 use bitternlead::control::state::ControlState;
 use bitternlead::raft::{Effect, Raft, RaftConfig, Restored, Role};
-use bitternlead::wire::{Command, Entry, HardState, Peer, Replica, Snapshot};
+use bitternlead::wire::{
+    Append, Command, Entry, HardState, Peer, Replica, Snapshot, Vote, peer,
+};
 use bytes::Bytes;
 use prost::Message;
 use proptest::prelude::*;
@@ -27,6 +29,7 @@
     applied: u64,
     state: ControlState,
     cut: bool,
+    deaf_to: Option<u64>,
 }
 
 struct Bench {
@@ -34,17 +37,18 @@
     cfg: RaftConfig,
     now: Duration,
     hosts: Vec<Host>,
-    network: Vec<Peer>,
+    network: Vec<(Duration, Peer)>,
     committed: BTreeMap<u64, Entry>,
     leaders: BTreeMap<u64, u64>,
     next_id: u64,
     next_op: u64,
     loss: u32,
+    late: u32,
 }
 
 impl Bench {
-    fn new(seed: u64, count: usize, loss: u32) -> Self {
-        let cfg = RaftConfig { chunk: 64, batch: 8, ..RaftConfig::default() };
+    fn new(seed: u64, count: usize) -> Self {
+        let cfg = RaftConfig { chunk: 64, batch: 1 + seed as usize % 8, ..RaftConfig::default() };
         let mut bench = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             cfg,
@@ -56,6 +60,7 @@
             next_id: 1,
             next_op: 1,
             loss: 0,
+            late: 0,
         };
         for _ in 0..count {
             bench.add_host();
@@ -69,7 +74,6 @@
         }
         bench.run_until(20_000, |b| b.voters() == count);
         assert_eq!(bench.voters(), count, "all replicas become voters");
-        bench.loss = loss;
         bench
     }
 
@@ -83,6 +87,7 @@
             applied: 0,
             state: ControlState::default(),
             cut: false,
+            deaf_to: None,
         };
         self.hosts.push(host);
         self.restart(self.hosts.len() - 1);
@@ -173,7 +178,7 @@
 
     fn perform(&mut self, at: usize, effect: Effect) {
         match effect {
-            Effect::Send(msg) => self.network.push(msg),
+            Effect::Send(msg) => self.send(msg),
             Effect::Commit(entry) => self.commit(at, entry),
             Effect::Lead => {
                 let host = &self.hosts[at];
@@ -220,22 +225,31 @@
         }
     }
 
+    /// Puts a message on its way: it may be lost, doubled, or late by up to two seconds.
+    fn send(&mut self, msg: Peer) {
+        if self.rng.random_range(0..100) < self.loss {
+            return;
+        }
+        let copies = if self.rng.random_range(0..100) < self.loss { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = self.rng.random_range(0..100) < self.late;
+            let delay = self.rng.random_range(0..if late { 2000 } else { 20 });
+            self.network.push((self.now + Duration::from_millis(delay), msg.clone()));
+        }
+    }
+
     fn deliver(&mut self) {
-        let sent = std::mem::take(&mut self.network);
-        for msg in sent {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.network).into_iter().partition(|m| m.0 <= now);
+        self.network = later;
+        let due: Vec<(Duration, Peer)> = due;
+        for (_, msg) in due {
             let from_cut = self.hosts.iter().any(|h| h.id == msg.from && h.cut);
             let to = self.hosts.iter().position(|h| h.id == msg.to);
-            let Some(to) = to.filter(|to| !self.hosts[*to].cut && !from_cut) else { continue };
-            match self.rng.random_range(0..100) {
-                roll if roll < self.loss => continue,
-                roll if roll < self.loss * 2 => self.network.push(msg.clone()),
-                roll if roll < self.loss * 3 => {
-                    self.network.push(msg);
-                    continue;
-                }
-                _ => {}
+            let Some(to) = to.filter(|to| !from_cut && !self.hosts[*to].cut) else { continue };
+            if self.hosts[to].deaf_to == Some(msg.from) {
+                continue;
             }
-            let now = self.now;
             if let Some(raft) = self.hosts[to].raft.as_mut() {
                 raft.receive(now, msg);
             }
@@ -280,8 +294,10 @@
     /// Ends all faults and checks that the cluster works and agrees.
     fn heal_and_check(&mut self) {
         self.loss = 0;
+        self.late = 0;
         for at in 0..self.hosts.len() {
             self.hosts[at].cut = false;
+            self.hosts[at].deaf_to = None;
             if self.hosts[at].raft.is_none() {
                 self.restart(at);
             }
@@ -309,42 +325,79 @@
     }
 }
 
+/// Freezes a replica for a while: time passes for the others only.
+fn freeze(bench: &mut Bench, at: usize) {
+    let frozen = bench.hosts[at].raft.take();
+    for _ in 0..bench.rng.random_range(1..200) {
+        bench.step(10);
+        if bench.rng.random_range(0..5) == 0 {
+            bench.propose();
+        }
+    }
+    bench.hosts[at].raft = frozen;
+    bench.check_reads();
+}
+
+/// One random fault or piece of work.
+fn disturb(bench: &mut Bench) {
+    let at = bench.rng.random_range(0..bench.hosts.len());
+    match bench.rng.random_range(0..40) {
+        0 => bench.hosts[at].raft = None,
+        1..=3 => bench.restart(at),
+        4 | 5 => bench.hosts[at].cut = !bench.hosts[at].cut,
+        6 => bench.hosts[at].deaf_to = bench.leader().map(|l| bench.hosts[l].id),
+        7 => bench.compact(at),
+        8 => freeze(bench, at),
+        9 => {
+            for host in &mut bench.hosts {
+                host.cut = false;
+                host.deaf_to = None;
+            }
+        }
+        10..=20 => {
+            bench.propose();
+        }
+        _ => {
+            let ms = bench.rng.random_range(5..90);
+            bench.step(ms);
+        }
+    }
+}
+
 fn random_faults(seed: u64, count: usize, steps: usize) {
-    let mut bench = Bench::new(seed, count, 5);
+    let mut bench = Bench::new(seed, count);
+    bench.loss = [0, 5, 20][seed as usize % 3];
+    bench.late = [0, 5, 20][seed as usize / 3 % 3];
     for _ in 0..steps {
-        match bench.rng.random_range(0..40) {
+        disturb(&mut bench);
+    }
+    bench.heal_and_check();
+}
+
+/// Replicas come and go while leaders fail.
+fn changing_members(seed: u64) {
+    let mut bench = Bench::new(seed, 3);
+    bench.loss = 10;
+    bench.late = 5;
+    for _ in 0..2 {
+        bench.add_host();
+    }
+    for _ in 0..400 {
+        let at = bench.rng.random_range(0..bench.hosts.len());
+        match bench.rng.random_range(0..12) {
             0 => {
-                let at = bench.rng.random_range(0..count);
-                bench.hosts[at].raft = None;
-            }
-            1..=3 => {
-                let at = bench.rng.random_range(0..count);
-                bench.restart(at);
+                bench.join(at);
             }
-            4 => {
-                let at = bench.rng.random_range(0..count);
-                bench.hosts[at].cut = !bench.hosts[at].cut;
-            }
-            5 => {
-                let at = bench.rng.random_range(0..count);
-                bench.compact(at);
-            }
-            6 => {
-                // A frozen replica: time passes for the others only.
-                let at = bench.rng.random_range(0..count);
-                let frozen = bench.hosts[at].raft.take();
-                for _ in 0..bench.rng.random_range(1..150) {
-                    bench.step(10);
+            1 => {
+                let id = bench.hosts[at].id;
+                let now = bench.now;
+                let leader = bench.leader().filter(|_| bench.voters() > 2);
+                if let Some(leader) = leader {
+                    bench.hosts[leader].raft.as_mut().unwrap().remove(now, id);
+                    bench.settle(leader);
                 }
-                bench.hosts[at].raft = frozen;
-            }
-            7..=14 => {
-                bench.propose();
-            }
-            _ => {
-                let ms = bench.rng.random_range(5..120);
-                bench.step(ms);
             }
+            _ => disturb(&mut bench),
         }
     }
     bench.heal_and_check();
@@ -354,7 +407,7 @@
 fn seeds() -> std::ops::Range<u64> {
     let given = std::env::var("RAFT_SEEDS").unwrap_or_default();
     let parts = given.split_once("..").and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
-    parts.unwrap_or(0..60)
+    parts.unwrap_or(0..300)
 }
 
 #[test]
@@ -371,10 +424,87 @@
     }
 }
 
+#[test]
+fn replicas_agree_while_members_change() {
+    for seed in seeds() {
+        changing_members(seed + 2_000_000);
+    }
+}
+
+#[test]
+fn a_replica_that_does_not_hear_the_leader_does_not_unseat_it() {
+    let mut bench = Bench::new(5, 3);
+    let leader = bench.leader().unwrap();
+    let term = bench.hosts[leader].raft.as_ref().unwrap().term();
+    bench.hosts[(leader + 1) % 3].deaf_to = Some(bench.hosts[leader].id);
+    bench.run_until(20_000, |_| false);
+    assert_eq!(bench.leader(), Some(leader));
+    assert_eq!(bench.hosts[leader].raft.as_ref().unwrap().term(), term);
+}
+
+fn peer(from: u64, to: u64, term: u64, kind: peer::Kind) -> Peer {
+    Peer { from, to, term, kind: Some(kind), from_address: String::new() }
+}
+
+fn granted(effects: &[Effect]) -> Option<bool> {
+    effects.iter().find_map(|e| match e {
+        Effect::Send(Peer { kind: Some(peer::Kind::VoteReply(r)), .. }) => Some(r.granted),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_vote_holds_across_a_restart() {
+    let cfg = RaftConfig::default();
+    let late = cfg.election_timeout * 2;
+    let ask = peer::Kind::Vote(Vote { last_index: 0, last_term: 0 });
+    let mut raft = Raft::new(1, cfg.clone(), 0, Duration::ZERO, Restored::default());
+    raft.receive(late, peer(2, 1, 5, ask.clone()));
+    let effects = raft.take_effects(late);
+    assert_eq!(granted(&effects), Some(true));
+    let mut hard = HardState::default();
+    for effect in &effects {
+        if let Effect::SaveHard(saved) = effect {
+            hard = *saved;
+        }
+    }
+    let found = Restored { hard, ..Restored::default() };
+    let mut raft = Raft::new(1, cfg, 0, Duration::ZERO, found);
+    raft.receive(late, peer(3, 1, 5, ask));
+    assert_eq!(granted(&raft.take_effects(late)), Some(false));
+}
+
+#[test]
+fn no_vote_is_cast_while_a_leader_is_heard() {
+    let cfg = RaftConfig::default();
+    let late = cfg.election_timeout * 2;
+    let mut raft = Raft::new(1, cfg.clone(), 0, Duration::ZERO, Restored::default());
+    raft.receive(late, peer(2, 1, 5, peer::Kind::Append(Append::default())));
+    raft.take_effects(late);
+    let soon = late + cfg.election_timeout / 2;
+    let ask = peer::Kind::Vote(Vote { last_index: 9, last_term: 9 });
+    raft.receive(soon, peer(3, 1, 6, ask));
+    assert_eq!(granted(&raft.take_effects(soon)), None);
+    assert_eq!(raft.term(), 5);
+}
+
+#[test]
+fn a_learner_that_lags_does_not_count() {
+    let mut bench = Bench::new(9, 1);
+    bench.add_host();
+    bench.hosts[1].cut = true;
+    assert!(bench.join(1));
+    bench.run_until(2000, |_| false);
+    let index = bench.propose().unwrap();
+    assert!(bench.run_until(1000, |b| b.committed.contains_key(&index)));
+    bench.hosts[1].cut = false;
+    assert!(bench.run_until(5000, |b| b.voters() == 2));
+}
+
 #[test]
 fn a_second_host_lost_right_after_a_repair_loses_nothing() {
     for seed in 0..30 {
-        let mut bench = Bench::new(seed, 3, 0);
+        let mut bench = Bench::new(seed, 3);
         let mut indexes = Vec::new();
         for _ in 0..20 {
             indexes.extend(bench.propose());
@@ -410,7 +540,7 @@
 
 #[test]
 fn a_replica_with_a_lost_disk_never_votes_as_the_old_one() {
-    let mut bench = Bench::new(7, 3, 0);
+    let mut bench = Bench::new(7, 3);
     let old = bench.hosts[2].id;
     bench.lose_disk(2);
     bench.run_until(3000, |_| false);
@@ -422,7 +552,7 @@
 
 #[test]
 fn a_silently_cut_leader_steps_down_and_answers_no_reads() {
-    let mut bench = Bench::new(3, 3, 0);
+    let mut bench = Bench::new(3, 3);
     let leader = bench.leader().unwrap();
     bench.hosts[leader].cut = true;
     let limit = bench.cfg.election_timeout;
@@ -442,7 +572,7 @@
 
 #[test]
 fn a_large_snapshot_is_installed_in_chunks() {
-    let mut bench = Bench::new(11, 3, 3);
+    let mut bench = Bench::new(11, 3);
     bench.hosts[2].raft = None;
     for _ in 0..200 {
         bench.propose();
--- /dev/null
+++ b/tests/testenv/mod.rs
@@ -0,0 +1,604 @@
+//! Runs the real binary and the stand-ins for end-to-end tests.
+
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::Value;
+use tempfile::TempDir;
+
+/// Time within which a process has to be ready or a condition has to hold.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A key of the test workspace.
+pub const KEY: &str = "test-key-1";
+
+/// One running process; it is killed when dropped.
+pub struct Process {
+    child: Child,
+    addresses: HashMap<String, SocketAddr>,
+    command: Vec<String>,
+    errors: PathBuf,
+}
+
+impl Process {
+    fn start(command: &[String], errors: &Path) -> Self {
+        let log = std::fs::File::options().create(true).append(true).open(errors).unwrap();
+        let mut child = Command::new(&command[0])
+            .args(&command[1..])
+            .env("RUST_BACKTRACE", "1")
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let out = child.stdout.take().unwrap();
+        let (tx, rx) = mpsc::channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                let _ = tx.send(line);
+            }
+        });
+        let line = rx.recv_timeout(PATIENCE).unwrap_or_else(|_| {
+            let _ = child.kill();
+            panic!("not ready: {command:?}: {}", std::fs::read_to_string(errors).unwrap())
+        });
+        let parts = line.strip_prefix("ready ").expect("a ready line").split(' ');
+        let pairs = parts.filter_map(|p| p.split_once('='));
+        let addresses = pairs.map(|(n, a)| (n.to_owned(), a.parse().unwrap())).collect();
+        Self { child, addresses, command: command.to_vec(), errors: errors.to_owned() }
+    }
+
+    /// An address of the ready line.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.addresses[name]
+    }
+
+    /// Its log.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.errors).unwrap_or_default()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
+    }
+
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Whether the process has ended, and its exit code.
+    pub fn ended(&mut self) -> Option<Option<i32>> {
+        self.child.try_wait().unwrap().map(|s| s.code())
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait_end(&mut self) -> Option<i32> {
+        let start = Instant::now();
+        loop {
+            if let Some(code) = self.ended() {
+                return code;
+            }
+            assert!(start.elapsed() < PATIENCE, "did not end: {}", self.log());
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Adds a flag for the next start.
+    pub fn add_flag(&mut self, flag: &str, value: &str) {
+        self.command.extend([flag.to_owned(), value.to_owned()]);
+    }
+
+    /// Starts the process again with the same command and addresses.
+    pub fn restart(&mut self) {
+        self.kill();
+        let mut command = self.command.clone();
+        for (flag, name) in [
+            ("--listen", "control"),
+            ("--listen", "agent"),
+            ("--listen", "callers"),
+            ("--operators-listen", "operators"),
+            ("--admin-listen", "admin"),
+        ] {
+            let Some(addr) = self.addresses.get(name) else { continue };
+            match command.iter().position(|c| c == flag) {
+                Some(at) => command[at + 1] = addr.to_string(),
+                None => command.extend([flag.to_owned(), addr.to_string()]),
+            }
+        }
+        *self = Self::start(&command, &self.errors.clone());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.thaw();
+        self.kill();
+    }
+}
+
+/// Settings of a test system.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub controls: usize,
+    pub agents: usize,
+    pub entries: usize,
+    pub kv_tokens: u64,
+    pub prefill_rate: f64,
+    pub speed: f64,
+    pub service_delay_ms: u64,
+    pub checks_orders: bool,
+    pub deadline_ms: u64,
+    pub entry_flags: Vec<String>,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            controls: 1,
+            agents: 2,
+            entries: 1,
+            kv_tokens: 450_000,
+            prefill_rate: 200_000.0,
+            speed: 1.0,
+            service_delay_ms: 0,
+            checks_orders: false,
+            deadline_ms: 6000,
+            entry_flags: Vec::new(),
+        }
+    }
+}
+
+/// A running system: control, agents each with an engine and a service, entries.
+pub struct TestEnv {
+    pub shape: Shape,
+    pub folder: TempDir,
+    pub stand_ins: Vec<Process>,
+    pub controls: Vec<Process>,
+    pub agents: Vec<Process>,
+    pub entries: Vec<Process>,
+    pub runtime: tokio::runtime::Runtime,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// An answer over HTTP.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub outcome: String,
+    pub retry_after: Option<u64>,
+    pub replayed: bool,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+}
+
+pub fn binary() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_bitternlead"))
+}
+
+pub fn stand_in() -> PathBuf {
+    binary().parent().unwrap().join("examples/stand_in")
+}
+
+/// Runs an operator's command.
+pub fn run(args: &[&str]) -> Output {
+    Command::new(binary()).args(args).env_remove("BITTERNLEAD_OPERATORS").output().unwrap()
+}
+
+impl TestEnv {
+    /// Starts a system and waits until it serves.
+    pub fn start(shape: Shape) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let client =
+            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http();
+        let folder = TempDir::new().unwrap();
+        let mut env = Self {
+            shape,
+            folder,
+            stand_ins: Vec::new(),
+            controls: Vec::new(),
+            agents: Vec::new(),
+            entries: Vec::new(),
+            runtime,
+            client,
+        };
+        env.write_config(&env.rules(""));
+        for at in 0..env.shape.agents {
+            env.start_stand_in(at);
+        }
+        env.start_controls();
+        for at in 0..env.shape.agents {
+            env.start_agent(at);
+        }
+        for at in 0..env.shape.entries {
+            env.start_entry(at);
+        }
+        env.wait_serving();
+        env
+    }
+
+    pub fn path(&self, name: &str) -> String {
+        self.folder.path().join(name).to_str().unwrap().to_owned()
+    }
+
+    /// Rules of the test system, with more text added.
+    pub fn rules(&self, more: &str) -> String {
+        format!(
+            "[[model]]\nname = \"m\"\n\n[[workspace]]\nname = \"w\"\nkeys = [\"{KEY}\"]\n\
+             requests_per_s = 100000\nconcurrency = 10000\ndeadline_ms = {}\nobjective_ms = 60000\n\n\
+             [[service]]\nname = \"orders\"\nidempotent = [\"GET /status*\"]\n\n{more}",
+            self.shape.deadline_ms
+        )
+    }
+
+    pub fn write_config(&self, rules: &str) {
+        let mut inventory = String::from("name,host,zone,region,kind,models,services\n");
+        for at in 0..self.shape.agents {
+            inventory.push_str(&format!("e{at},h{at},z{},r,engine,m,\n", at % 3));
+            inventory.push_str(&format!("s{at},h{at},z{},r,service,,orders\n", at % 3));
+        }
+        std::fs::write(self.path("inventory.csv"), inventory).unwrap();
+        std::fs::write(self.path("rules.toml"), rules).unwrap();
+    }
+
+    fn start_stand_in(&mut self, _at: usize) {
+        let shape = &self.shape;
+        let mut command = vec![
+            stand_in().to_str().unwrap().to_owned(),
+            "--services".into(),
+            "1".into(),
+            "--models".into(),
+            "m".into(),
+            "--kv-tokens".into(),
+            shape.kv_tokens.to_string(),
+            "--prefill-rate".into(),
+            shape.prefill_rate.to_string(),
+            "--speed".into(),
+            shape.speed.to_string(),
+            "--service-delay-ms".into(),
+            shape.service_delay_ms.to_string(),
+        ];
+        if shape.checks_orders {
+            command.push("--checks-orders".into());
+        }
+        let errors = self.folder.path().join("stand-in.err");
+        self.stand_ins.push(Process::start(&command, &errors));
+    }
+
+    fn start_controls(&mut self) {
+        for at in 0..self.shape.controls {
+            self.add_control(at);
+        }
+        let first = self.controls[0].address("operators").to_string();
+        let formed = run(&["init", "--operators", &first]);
+        assert!(formed.status.success(), "{}", String::from_utf8_lossy(&formed.stderr));
+        let count = self.shape.controls;
+        self.wait("all replicas vote", |env| {
+            let status = env.status();
+            let voters = status["replicas"].as_array().map_or(0, |list| {
+                list.iter().filter(|r| r["voter"] == true).count()
+            });
+            voters == count && status["confirmed"] == true
+        });
+        let applied = self.apply();
+        assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
+    }
+
+    /// Starts a control replica with the data folder of its number.
+    pub fn add_control(&mut self, at: usize) {
+        let join: Vec<String> =
+            self.controls.iter().map(|c| c.address("control").to_string()).collect();
+        let mut command = self.command("control", &format!("c{at}"), at);
+        let settings = [
+            ("--data", self.path(&format!("control-{at}"))),
+            ("--operators-listen", "127.0.0.1:0".to_owned()),
+            ("--listen", "127.0.0.1:0".to_owned()),
+            ("--election-ms", "400".to_owned()),
+            ("--heartbeat-ms", "60".to_owned()),
+            ("--settle-ms", "1200".to_owned()),
+        ];
+        for (flag, value) in settings {
+            command.extend([flag.to_owned(), value]);
+        }
+        if !join.is_empty() {
+            command.extend(["--join".to_owned(), join.join(",")]);
+        }
+        let errors = self.folder.path().join(format!("control-{at}.err"));
+        self.controls.push(Process::start(&command, &errors));
+    }
+
+    fn command(&self, role: &str, node: &str, at: usize) -> Vec<String> {
+        let zone = format!("z{}", at % 3);
+        let mut command = vec![binary().to_str().unwrap().to_owned()];
+        command.extend([role, "--node", node, "--zone", &zone].map(str::to_owned));
+        command
+    }
+
+    pub fn control_addresses(&self) -> String {
+        let all = self.controls.iter().map(|c| c.address("control").to_string());
+        all.collect::<Vec<_>>().join(",")
+    }
+
+    pub fn operators(&self) -> String {
+        let all = self.controls.iter().map(|c| c.address("operators").to_string());
+        all.collect::<Vec<_>>().join(",")
+    }
+
+    fn start_agent(&mut self, at: usize) {
+        let process = self.spawn_agent(at);
+        self.agents.push(process);
+    }
+
+    /// Starts one more run of an agent.
+    pub fn spawn_agent(&self, at: usize) -> Process {
+        let mut command = self.command("agent", &format!("a{at}"), at);
+        let engine = self.stand_ins[at].address("engine-0");
+        let service = self.stand_ins[at].address("service-0");
+        command.extend(["--control".to_owned(), self.control_addresses()]);
+        command.extend(["--endpoints".to_owned(), format!("e{at}={engine},s{at}={service}")]);
+        let errors = self.folder.path().join(format!("agent-{at}.err"));
+        Process::start(&command, &errors)
+    }
+
+    fn start_entry(&mut self, at: usize) {
+        let mut command = self.command("entry", &format!("n{at}"), at);
+        command.extend(["--control".to_owned(), self.control_addresses()]);
+        command.extend(["--listen".to_owned(), "127.0.0.1:0".to_owned()]);
+        command.extend(["--seed".to_owned(), "7".to_owned()]);
+        command.extend(self.shape.entry_flags.clone());
+        let errors = self.folder.path().join(format!("entry-{at}.err"));
+        self.entries.push(Process::start(&command, &errors));
+    }
+
+    /// Waits until every entry serves the model and the service from every agent.
+    pub fn wait_serving(&self) {
+        let wanted = self.shape.agents * 2;
+        self.wait("all endpoints serve", |env| {
+            let status = env.status();
+            let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+            let serving = endpoints.iter().filter(|e| {
+                let models = e["models"].as_array().is_some_and(|m| !m.is_empty());
+                e["leaving"] == false && models
+            });
+            serving.count() == wanted
+        });
+        for at in 0..self.entries.len() {
+            self.wait("the entry serves", |env| {
+                let models = env.get(env.entries[at].address("callers"), "/v1/models");
+                let order = env.call_service(at, "GET", "/status", None, "");
+                models.body.contains("\"m\"") && order.status == 200
+            });
+        }
+    }
+
+    /// Waits for a condition.
+    pub fn wait(&self, what: &str, mut holds: impl FnMut(&Self) -> bool) {
+        let start = Instant::now();
+        while !holds(self) {
+            assert!(start.elapsed() < PATIENCE, "not in time: {what}\n{}", self.logs());
+            std::thread::sleep(Duration::from_millis(30));
+        }
+    }
+
+    /// Last lines of all logs.
+    pub fn logs(&self) -> String {
+        let mut text = String::new();
+        for process in self.controls.iter().chain(&self.agents).chain(&self.entries) {
+            let log = process.log();
+            let lines: Vec<&str> = log.lines().collect();
+            text.push_str(&lines[lines.len().saturating_sub(8)..].join("\n"));
+            text.push_str("\n---\n");
+        }
+        text
+    }
+
+    /// Status as the confirmed leader shows it, if any replica leads.
+    pub fn status(&self) -> Value {
+        for control in &self.controls {
+            let answer = self.get(control.address("operators"), "/v1/status");
+            let status = answer.json();
+            if status["confirmed"] == true {
+                return status;
+            }
+        }
+        Value::Null
+    }
+
+    /// Number of the control replica that leads.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.controls.len()).find(|at| {
+            let answer = self.get(self.controls[*at].address("operators"), "/v1/status");
+            answer.json()["confirmed"] == true
+        })
+    }
+
+    /// Applies the written configuration.
+    pub fn apply(&self) -> Output {
+        self.apply_with(&[])
+    }
+
+    /// Applies the written configuration with more flags.
+    pub fn apply_with(&self, more: &[&str]) -> Output {
+        let (inventory, rules) = (self.path("inventory.csv"), self.path("rules.toml"));
+        let operators = self.operators();
+        let mut args = vec!["apply", "--inventory", &inventory, "--rules", &rules];
+        args.extend(["--operators", &operators]);
+        args.extend(more);
+        run(&args)
+    }
+
+    /// Sets a fail point of a running process.
+    pub fn fault(&self, process: &Process, step: &str, actions: &str) {
+        let body = format!("{step}={actions}");
+        let answer = self.send(process.address("admin"), "POST", "/faults", &[], body, PATIENCE);
+        assert_eq!(answer.status, 200, "{step}: {}", answer.body);
+    }
+
+    pub fn get(&self, addr: SocketAddr, path: &str) -> Answer {
+        let key = format!("Bearer {KEY}");
+        let headers = [("authorization", key.as_str())];
+        self.send(addr, "GET", path, &headers, String::new(), Duration::from_secs(5))
+    }
+
+    /// Calls the test service through an entry.
+    pub fn call_service(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Answer {
+        let bearer = format!("Bearer {KEY}");
+        let mut headers = vec![("authorization", bearer.as_str())];
+        if let Some(key) = key {
+            headers.push(("idempotency-key", key));
+        }
+        let addr = self.entries[entry].address("callers");
+        let path = format!("/services/orders{path}");
+        self.send(addr, method, &path, &headers, body.to_owned(), PATIENCE)
+    }
+
+    /// Asks for a completion through an entry.
+    pub fn complete(&self, entry: usize, prompt: &str, tokens: u64, stream: bool) -> Answer {
+        let body = serde_json::json!({
+            "model": "m", "prompt": prompt, "max_tokens": tokens, "stream": stream,
+        });
+        let bearer = format!("Bearer {KEY}");
+        let headers = [("authorization", bearer.as_str()), ("content-type", "application/json")];
+        let addr = self.entries[entry].address("callers");
+        self.send(addr, "POST", "/v1/completions", &headers, body.to_string(), PATIENCE)
+    }
+
+    pub fn send(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+        limit: Duration,
+    ) -> Answer {
+        let mut builder = Request::builder().method(method).uri(format!("http://{addr}{path}"));
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let req = builder.body(Full::new(Bytes::from(body))).unwrap();
+        let whole = async {
+            let response = self.client.request(req).await.ok()?;
+            let header = |name: &str| {
+                let value = response.headers().get(name)?;
+                Some(value.to_str().unwrap_or_default().to_owned())
+            };
+            let mut answer = Answer {
+                status: response.status().as_u16(),
+                outcome: header("bitternlead-outcome").unwrap_or_default(),
+                retry_after: header("retry-after").and_then(|v| v.parse().ok()),
+                replayed: header("bitternlead-replayed").is_some(),
+                body: String::new(),
+            };
+            let mut body = response.into_body();
+            let mut data = Vec::new();
+            while let Some(frame) = body.frame().await {
+                let Ok(frame) = frame else {
+                    answer.outcome = "broken".into();
+                    break;
+                };
+                data.extend_from_slice(frame.data_ref().map(Bytes::as_ref).unwrap_or_default());
+            }
+            answer.body = String::from_utf8_lossy(&data).into_owned();
+            Some(answer)
+        };
+        let limited = async { tokio::time::timeout(limit, whole).await };
+        let answer = self.runtime.block_on(limited);
+        answer.ok().flatten().unwrap_or_default()
+    }
+
+    /// How often each booking ran, over all services.
+    pub fn runs(&self) -> HashMap<String, u64> {
+        let mut runs = HashMap::new();
+        for stand_in in &self.stand_ins {
+            let answer = self.get(stand_in.address("service-0"), "/runs");
+            let counts: HashMap<String, u64> =
+                serde_json::from_str(&answer.body).unwrap_or_default();
+            for (key, count) in counts {
+                *runs.entry(key).or_default() += count;
+            }
+        }
+        runs
+    }
+
+    /// Memory that the engines really use, in tokens.
+    pub fn engine_memory(&self) -> u64 {
+        let loads = self.stand_ins.iter().map(|s| self.get(s.address("engine-0"), "/true-load"));
+        loads.map(|l| l.json()["kv_used"].as_u64().unwrap_or(u64::MAX / 64)).sum()
+    }
+
+    /// Memory that the agents' ledgers hold, in tokens.
+    pub fn ledger_memory(&self) -> u64 {
+        let status = self.status();
+        let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+        endpoints.iter().map(|e| e["kv_reserved"].as_u64().unwrap_or(0)).sum()
+    }
+}
+
+/// Checks that a text is one whole answer of the stand-in: one stem, numbers without a gap.
+pub fn check_tokens(text: &str, count: u64) -> Result<(), String> {
+    let tokens: Vec<&str> = text.split_whitespace().collect();
+    if tokens.len() as u64 != count {
+        return Err(format!("{} tokens instead of {count}", tokens.len()));
+    }
+    let stem = tokens[0].split('-').next().unwrap_or_default();
+    for (number, token) in tokens.iter().enumerate() {
+        if *token != format!("{stem}-{number}") {
+            return Err(format!("token {number} is {token}, the stem is {stem}"));
+        }
+    }
+    Ok(())
+}
+
+/// Text of a streamed answer, if it is whole: its last events are usage and `[DONE]`.
+pub fn streamed_text(body: &str) -> Option<String> {
+    let events: Vec<&str> = body.lines().filter_map(|l| l.strip_prefix("data: ")).collect();
+    let (last, parts) = events.split_last()?;
+    if *last != "[DONE]" {
+        return None;
+    }
+    let mut text = String::new();
+    for part in parts {
+        let event: Value = serde_json::from_str(part).ok()?;
+        text.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+    }
+    Some(text)
+}
