--- /dev/null
+++ b/tests/matrix/main.rs
@@ -0,0 +1,115 @@
+//! The fault matrix: every fault at every step of a request, a booking, a configuration
+//! change, a drain and an order, against real processes.
+//!
+//! `MATRIX_SEED` and `MATRIX_DOUBLES` choose the pairs of faults that are tried together.
+
+#[path = "../testenv/mod.rs"]
+mod testenv;
+
+mod cells;
+mod checks;
+mod faults;
+
+use std::sync::Mutex;
+
+use cells::{Cell, Operation, single_cells};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use testenv::{Shape, TestEnv};
+
+/// Systems that run side by side for one operation.
+const SYSTEMS: usize = 3;
+
+fn shape() -> Shape {
+    Shape { controls: 3, agents: 2, entries: 2, service_delay_ms: 250, ..Shape::default() }
+}
+
+/// Runs cells, each on a system that was found healthy, and returns those that failed.
+fn run_cells(operation: Operation, cells: Vec<Cell>) -> Vec<String> {
+    let queue = Mutex::new(cells.into_iter().enumerate());
+    let failed = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..SYSTEMS {
+            scope.spawn(|| {
+                let mut env = TestEnv::start(shape());
+                loop {
+                    let Some((number, cell)) = queue.lock().unwrap().next() else { return };
+                    let run = || checks::run_cell(&mut env, operation, number, &cell);
+                    let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run))
+                        .unwrap_or_else(|panic| Err(panic_text(&panic)));
+                    if let Err(reason) = verdict {
+                        let text = format!("{operation:?} {cell}: {reason}");
+                        println!("FAILED {text}");
+                        failed.lock().unwrap().push(text);
+                        env = TestEnv::start(shape());
+                    }
+                }
+            });
+        }
+    });
+    failed.into_inner().unwrap()
+}
+
+fn panic_text(panic: &Box<dyn std::any::Any + Send>) -> String {
+    let owned = panic.downcast_ref::<String>().cloned();
+    owned.unwrap_or_else(|| "panicked".to_owned())
+}
+
+fn run_operation(operation: Operation) {
+    let (cells, skipped) = single_cells(operation);
+    let count = cells.len();
+    let failed = run_cells(operation, cells);
+    println!(
+        "matrix {operation:?}: {count} cells run, {} passed, {} failed, {} not applicable",
+        count - failed.len(),
+        failed.len(),
+        skipped.len()
+    );
+    let mut reasons: Vec<&str> = skipped;
+    reasons.sort_unstable();
+    for reason in reasons.chunk_by(|a, b| a == b) {
+        println!("  not applicable, {} cells: {}", reason.len(), reason[0]);
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
+
+#[test]
+fn requests() {
+    run_operation(Operation::Request);
+}
+
+#[test]
+fn bookings() {
+    run_operation(Operation::Booking);
+}
+
+#[test]
+fn configuration_changes() {
+    run_operation(Operation::Change);
+}
+
+#[test]
+fn drains() {
+    run_operation(Operation::Drain);
+}
+
+#[test]
+fn orders() {
+    run_operation(Operation::Order);
+}
+
+#[test]
+fn pairs_of_faults() {
+    let number =
+        |name: &str, or: u64| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(or);
+    let mut rng = ChaCha8Rng::seed_from_u64(number("MATRIX_SEED", 1));
+    let pairs = number("MATRIX_DOUBLES", 8) as usize;
+    for operation in [Operation::Request, Operation::Booking, Operation::Change] {
+        let (cells, _) = single_cells(operation);
+        let mut draw = || cells[rng.random_range(0..cells.len())].clone();
+        let doubles = (0..pairs).map(|_| draw().with(draw())).collect();
+        let failed = run_cells(operation, doubles);
+        println!("matrix pairs {operation:?}: {pairs} run, {} failed", failed.len());
+        assert!(failed.is_empty(), "{}", failed.join("\n"));
+    }
+}
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -199,7 +199,13 @@
         let (inventory, rules) = (env.path("inventory.csv"), env.path("rules.toml"));
         let operators = operators.join(",");
         let applied = run(&[
-            "apply", "--inventory", &inventory, "--rules", &rules, "--operators", &operators,
+            "apply",
+            "--inventory",
+            &inventory,
+            "--rules",
+            &rules,
+            "--operators",
+            &operators,
         ]);
         assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
     }
@@ -342,11 +348,10 @@
     let old = env.get(env.controls[lost].address("operators"), "/v1/status").json();
     env.controls[lost].kill();
     std::fs::remove_dir_all(env.path(&format!("control-{lost}"))).unwrap();
-    if lost == 0 {
-        // The first replica was started without others to join.
-        let join = format!("{},{}", env.controls[1].address("control"), env.controls[2].address("control"));
-        env.controls[0].add_flag("--join", &join);
-    }
+    // The first replica was started without others to join.
+    let others = (0..3).filter(|at| *at != lost).map(|at| env.controls[at].address("control"));
+    let join = others.map(|a| a.to_string()).collect::<Vec<_>>().join(",");
+    env.controls[lost].set_flag("--join", &join);
     env.controls[lost].restart();
     env.wait("the new member votes", |env| {
         let status = env.status();
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -5,12 +5,10 @@
 
 use bitternlead::control::state::ControlState;
 use bitternlead::raft::{Effect, Raft, RaftConfig, Restored, Role};
-use bitternlead::wire::{
-    Append, Command, Entry, HardState, Peer, Replica, Snapshot, Vote, peer,
-};
+use bitternlead::wire::{Append, Command, Entry, HardState, Peer, Replica, Snapshot, Vote, peer};
 use bytes::Bytes;
-use prost::Message;
 use proptest::prelude::*;
+use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
@@ -27,6 +28,25 @@
 /// A key of the test workspace.
 pub const KEY: &str = "test-key-1";
 
+/// Next port to try; below the range that the system gives to outgoing connections.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// First port and number of ports that tests listen on.
+const PORTS: (u16, u16) = (10_000, 20_000);
+
+/// A free loopback address, followed by another free one, that no other test gets.
+pub fn free_address() -> SocketAddr {
+    loop {
+        let step = NEXT_PORT.fetch_add(2, Ordering::Relaxed);
+        let start = (std::process::id() as u16).wrapping_mul(98);
+        let port = PORTS.0 + start.wrapping_add(step) % PORTS.1 / 2 * 2;
+        let free = |port: u16| std::net::TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if free(port) && free(port + 1) {
+            return SocketAddr::from(([127, 0, 0, 1], port));
+        }
+    }
+}
+
 /// One running process; it is killed when dropped.
 pub struct Process {
     child: Child,
@@ -106,29 +126,18 @@
         }
     }
 
-    /// Adds a flag for the next start.
-    pub fn add_flag(&mut self, flag: &str, value: &str) {
-        self.command.extend([flag.to_owned(), value.to_owned()]);
+    /// Sets a flag for the next start.
+    pub fn set_flag(&mut self, flag: &str, value: &str) {
+        match self.command.iter().position(|c| c == flag) {
+            Some(at) => self.command[at + 1] = value.to_owned(),
+            None => self.command.extend([flag.to_owned(), value.to_owned()]),
+        }
     }
 
     /// Starts the process again with the same command and addresses.
     pub fn restart(&mut self) {
         self.kill();
-        let mut command = self.command.clone();
-        for (flag, name) in [
-            ("--listen", "control"),
-            ("--listen", "agent"),
-            ("--listen", "callers"),
-            ("--operators-listen", "operators"),
-            ("--admin-listen", "admin"),
-        ] {
-            let Some(addr) = self.addresses.get(name) else { continue };
-            match command.iter().position(|c| c == flag) {
-                Some(at) => command[at + 1] = addr.to_string(),
-                None => command.extend([flag.to_owned(), addr.to_string()]),
-            }
-        }
-        *self = Self::start(&command, &self.errors.clone());
+        *self = Self::start(&self.command.clone(), &self.errors.clone());
     }
 }
 
@@ -288,6 +297,8 @@
             shape.speed.to_string(),
             "--service-delay-ms".into(),
             shape.service_delay_ms.to_string(),
+            "--port".into(),
+            free_address().port().to_string(),
         ];
         if shape.checks_orders {
             command.push("--checks-orders".into());
@@ -306,9 +317,9 @@
         let count = self.shape.controls;
         self.wait("all replicas vote", |env| {
             let status = env.status();
-            let voters = status["replicas"].as_array().map_or(0, |list| {
-                list.iter().filter(|r| r["voter"] == true).count()
-            });
+            let voters = status["replicas"]
+                .as_array()
+                .map_or(0, |list| list.iter().filter(|r| r["voter"] == true).count());
             voters == count && status["confirmed"] == true
         });
         let applied = self.apply();
@@ -322,8 +333,7 @@
         let mut command = self.command("control", &format!("c{at}"), at);
         let settings = [
             ("--data", self.path(&format!("control-{at}"))),
-            ("--operators-listen", "127.0.0.1:0".to_owned()),
-            ("--listen", "127.0.0.1:0".to_owned()),
+            ("--operators-listen", free_address().to_string()),
             ("--election-ms", "400".to_owned()),
             ("--heartbeat-ms", "60".to_owned()),
             ("--settle-ms", "1200".to_owned()),
@@ -341,7 +351,9 @@
     fn command(&self, role: &str, node: &str, at: usize) -> Vec<String> {
         let zone = format!("z{}", at % 3);
         let mut command = vec![binary().to_str().unwrap().to_owned()];
+        let (listen, admin) = (free_address().to_string(), free_address().to_string());
         command.extend([role, "--node", node, "--zone", &zone].map(str::to_owned));
+        command.extend(["--listen", &listen, "--admin-listen", &admin].map(str::to_owned));
         command
     }
 
@@ -374,7 +386,6 @@
     fn start_entry(&mut self, at: usize) {
         let mut command = self.command("entry", &format!("n{at}"), at);
         command.extend(["--control".to_owned(), self.control_addresses()]);
-        command.extend(["--listen".to_owned(), "127.0.0.1:0".to_owned()]);
         command.extend(["--seed".to_owned(), "7".to_owned()]);
         command.extend(self.shape.entry_flags.clone());
         let errors = self.folder.path().join(format!("entry-{at}.err"));
@@ -458,11 +469,16 @@
         run(&args)
     }
 
+    /// Sets a fail point of a running process; false when it does not answer.
+    pub fn try_fault(&self, process: &Process, step: &str, actions: &str) -> bool {
+        let body = format!("{step}={actions}");
+        let admin = process.address("admin");
+        self.send(admin, "POST", "/faults", &[], body, PATIENCE).status == 200
+    }
+
     /// Sets a fail point of a running process.
     pub fn fault(&self, process: &Process, step: &str, actions: &str) {
-        let body = format!("{step}={actions}");
-        let answer = self.send(process.address("admin"), "POST", "/faults", &[], body, PATIENCE);
-        assert_eq!(answer.status, 200, "{step}: {}", answer.body);
+        assert!(self.try_fault(process, step, actions), "{step}={actions}");
     }
 
     pub fn get(&self, addr: SocketAddr, path: &str) -> Answer {
