Renew leases at once after an outage; keep the last burn counts; share encoded changes

Causes, each found by a test or a measurement: - After a restart of a single control replica a node lost its lease: one call with a fixed hold time ran into its own limit. A node now asks afresh each time, and without hold when less than two seconds of its lease are left. - The last counts of an entry were dropped: its link to control was cancelled before the report.

--- a/examples/load/main.rs
+++ b/examples/load/main.rs
@@ -1,6 +1,8 @@
 //! Open-loop load on a fleet of stand-in engines: ours beside the baselines, on the same seeds.
 
 mod arrivals;
+#[path = "../support/child.rs"]
+mod child;
 mod client;
 mod report;
 mod system;
--- a/examples/load/system.rs
+++ b/examples/load/system.rs
@@ -1,12 +1,11 @@
 //! Starts the processes of a fleet on loopback and ends them.
 
-use std::collections::HashMap;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+use crate::child::{Process, run_command};
+
 /// A fleet.
 #[derive(Clone, Debug)]
 pub struct Preset {
@@ -34,18 +33,6 @@
     pub entries: usize,
 }
 
-struct Process {
-    child: Child,
-    addresses: HashMap<String, SocketAddr>,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// Running processes; they end when dropped.
 pub struct System {
     processes: Vec<Process>,
@@ -54,15 +41,6 @@
     pub folder: PathBuf,
 }
 
-fn beside(name: &str) -> PathBuf {
-    let own = std::env::current_exe().unwrap_or_default();
-    let examples = own.parent().map(Path::to_owned).unwrap_or_default();
-    match name {
-        "stand_in" => examples.join(name),
-        _ => examples.parent().map(|p| p.join(name)).unwrap_or_default(),
-    }
-}
-
 impl System {
     /// Starts everything and waits until it serves.
     pub fn start(cfg: &SystemConfig) -> Result<Self, String> {
@@ -98,8 +76,8 @@
                 "warning",
             ],
         )?;
-        let control_addr = self.processes[control].addresses["control"].to_string();
-        self.operators = self.processes[control].addresses["operators"].to_string();
+        let control_addr = self.processes[control].address("control")?.to_string();
+        self.operators = self.processes[control].address("operators")?.to_string();
         self.command(&["init"])?;
         let file = |name: &str| self.folder.join(name).display().to_string();
         let (inventory, rules) = (file("inventory.csv"), file("rules.toml"));
@@ -129,7 +107,7 @@
                     "error",
                 ],
             )?;
-            self.callers.push(self.processes[entry].addresses["callers"]);
+            self.callers.push(self.processes[entry].address("callers")?);
         }
         let ready = |s: &Self| {
             let status = s.command(&["status"]).unwrap_or_default();
@@ -168,12 +146,12 @@
                 "draft",
             ],
         )?;
-        let addresses = &self.processes[stand_in].addresses;
-        let endpoints = own.iter().enumerate().map(|(at, e)| {
-            let addr = addresses[&format!("engine-{at}")];
-            format!("e{e}={addr}")
-        });
-        let endpoints = endpoints.collect::<Vec<_>>().join(",");
+        let engines = &self.processes[stand_in];
+        let mut endpoints = Vec::new();
+        for (at, e) in own.iter().enumerate() {
+            endpoints.push(format!("e{e}={}", engines.address(&format!("engine-{at}"))?));
+        }
+        let endpoints = endpoints.join(",");
         let (node, zone) = (format!("a{zone}"), format!("z{zone}"));
         self.spawn(
             "bitternlead",
@@ -219,35 +197,11 @@
     }
 
     fn command(&self, args: &[&str]) -> Result<String, String> {
-        let output = Command::new(beside("bitternlead"))
-            .args(args)
-            .args(["--operators", &self.operators])
-            .output()
-            .map_err(|e| e.to_string())?;
-        match output.status.success() {
-            true => Ok(String::from_utf8_lossy(&output.stdout).into_owned()),
-            false => Err(String::from_utf8_lossy(&output.stderr).into_owned()),
-        }
+        run_command(args, &self.operators)
     }
 
     fn spawn(&mut self, program: &str, args: &[&str]) -> Result<usize, String> {
-        let path = beside(program);
-        let mut child = Command::new(&path)
-            .args(args)
-            .stdout(Stdio::piped())
-            .spawn()
-            .map_err(|e| format!("{}: {e}", path.display()))?;
-        let out = child.stdout.take().ok_or("no output")?;
-        let mut line = String::new();
-        let mut reader = BufReader::new(out);
-        reader.read_line(&mut line).map_err(|e| e.to_string())?;
-        let Some(parts) = line.trim().strip_prefix("ready ") else {
-            let _ = child.kill();
-            return Err(format!("{program} {args:?} did not start: {line}"));
-        };
-        let pairs = parts.split(' ').filter_map(|p| p.split_once('='));
-        let addresses = pairs.filter_map(|(n, a)| Some((n.to_owned(), a.parse().ok()?))).collect();
-        self.processes.push(Process { child, addresses });
+        self.processes.push(Process::start(program, args)?);
         Ok(self.processes.len() - 1)
     }
 
@@ -255,7 +209,7 @@
     pub fn kill_agent(&mut self) {
         // Control, then a stand-in and an agent for each zone: the first agent is the third.
         if let Some(agent) = self.processes.get_mut(2) {
-            let _ = agent.child.kill();
+            agent.kill();
         }
     }
 }
--- a/src/config_lease.rs
+++ b/src/config_lease.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use prost::Message;
+
 use crate::config::FleetConfig;
 use crate::ids::{Moment, Version};
-use crate::wire::SyncReply;
+use crate::wire::{ConfigChanges, SyncReply};
 
 /// A change of the lease or the configuration that is worth a log event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,6 +59,11 @@
         now < self.until && !self.superseded
     }
 
+    /// Time for which the lease is still held.
+    pub fn remaining(&self, now: Moment) -> Moment {
+        self.until.saturating_sub(now)
+    }
+
     /// Whether a newer run of this node has taken over.
     pub fn is_superseded(&self) -> bool {
         self.superseded
@@ -80,7 +87,11 @@
         if reply.config_version > self.version() {
             let mut config = FleetConfig::clone(&self.config);
             let version = reply.config_version;
-            let unreadable = config.apply(version, reply.config_full, &reply.records);
+            let Ok(changes) = ConfigChanges::decode(reply.changes.clone()) else {
+                events.push(LeaseEvent::Unreadable("changes".into()));
+                return events;
+            };
+            let unreadable = config.apply(version, reply.config_full, &changes.records);
             events.extend(unreadable.into_iter().map(LeaseEvent::Unreadable));
             events.push(LeaseEvent::Taken(version));
             self.config = Arc::new(config);
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -187,6 +187,9 @@
             }
             Input::Found(reply) => {
                 let formed = self.raft.found(now, self.own.clone());
+                if formed {
+                    event!(self.log, ClusterFormed, "replica" => format!("{:016x}", self.own.id));
+                }
                 let _ = reply.send(formed);
             }
             Input::Stop => {}
@@ -312,6 +315,9 @@
         let replicas = self.state.replicas.len();
         let outcome = self.state.apply(entry);
         let version = self.state.config.version();
+        if outcome.result == "conflict" {
+            event!(self.log, ConfigRefused, "detail" => &outcome.detail);
+        }
         if version > before {
             let news = self.state.config.since(before);
             self.fleet.apply(news.version, news.full, &news.records);
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -40,7 +40,8 @@
 pub async fn run(settings: ControlSettings, log: Logger) -> Result<(), RunError> {
     let mut signals = EndSignals::new()?;
     let common = settings.common.clone();
-    let opened = Store::open(&settings.data)?;
+    let opened = Store::open(&settings.data)
+        .inspect_err(|e| event!(log, StoreRefused, "reason" => e.to_string()))?;
     if opened.cut > 0 {
         event!(log, LogTailCut, "bytes" => opened.cut);
     }
--- a/src/control/sync_desk.rs
+++ b/src/control/sync_desk.rs
@@ -1,14 +1,18 @@
 //! Nodes that wait for news, and the leases that their answers carry.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use bytes::Bytes;
+use prost::Message;
 use tokio::sync::oneshot;
 
+use super::config_records::ConfigRecords;
 use super::core::Answer;
 use super::roster::Roster;
 use super::state::ControlState;
-use crate::ids::Moment;
-use crate::wire::{Order, Sync, SyncReply};
+use crate::ids::{Moment, Version};
+use crate::wire::{ConfigChanges, Order, Sync, SyncReply};
 
 /// A node's call that waits for news.
 pub struct WaitingSync {
@@ -37,13 +41,42 @@
 pub struct SyncDesk {
     lease: Duration,
     answered: Versions,
+    news: NewsCache,
     waiting: Vec<WaitingSync>,
 }
 
+/// Encoded changes up to one version, by the version that they start from.
+#[derive(Debug, Default)]
+struct NewsCache {
+    version: Version,
+    by_base: HashMap<Version, (bool, Bytes)>,
+}
+
+impl NewsCache {
+    /// Whether the changes since a version are the whole configuration, and their encoding.
+    fn since(&mut self, config: &ConfigRecords, base: Version) -> (bool, Bytes) {
+        if self.version != config.version() {
+            self.version = config.version();
+            self.by_base.clear();
+        }
+        let encode = || {
+            let news = config.since(base);
+            let changes = ConfigChanges { records: news.records };
+            (news.full, Bytes::from(changes.encode_to_vec()))
+        };
+        self.by_base.entry(base).or_insert_with(encode).clone()
+    }
+}
+
 impl SyncDesk {
     /// Builds an empty desk that grants leases of this length.
     pub fn new(lease: Duration) -> Self {
-        Self { lease, answered: Versions::default(), waiting: Vec::new() }
+        Self {
+            lease,
+            answered: Versions::default(),
+            news: NewsCache::default(),
+            waiting: Vec::new(),
+        }
     }
 
     /// Takes a call.
@@ -86,7 +119,7 @@
                 still.push(waiting);
                 continue;
             }
-            let mut reply = build_reply(now, &waiting.sync, state, roster);
+            let mut reply = build_reply(now, &waiting.sync, state, roster, &mut self.news);
             if !due && !waiting.superseded && !has_news(&waiting.sync, &reply) {
                 still.push(WaitingSync { looked: true, ..waiting });
                 continue;
@@ -108,12 +141,16 @@
     reply.config_version != sync.config_version || members || !reply.orders.is_empty()
 }
 
-fn build_reply(now: Moment, sync: &Sync, state: &ControlState, roster: &Roster) -> SyncReply {
+fn build_reply(
+    now: Moment,
+    sync: &Sync,
+    state: &ControlState,
+    roster: &Roster,
+    cache: &mut NewsCache,
+) -> SyncReply {
     let mut reply = SyncReply { config_version: state.config.version(), ..SyncReply::default() };
     if reply.config_version != sync.config_version {
-        let news = state.config.since(sync.config_version);
-        reply.config_full = news.full;
-        reply.records = news.records;
+        (reply.config_full, reply.changes) = cache.since(&state.config, sync.config_version);
     }
     if sync.wants_members {
         reply.entries = roster.entries();
--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -65,9 +65,14 @@
     }
 
     async fn try_once(&self, body: &Body, due: Instant) -> Option<Body> {
-        let link = self.link().await?;
         let left = due.saturating_duration_since(Instant::now()).min(CALL_LIMIT);
-        match link.ask(body.clone(), left).await {
+        self.ask_once(body.clone(), left).await
+    }
+
+    /// Calls the replica that probably leads, once; `None` without an answer of a leader.
+    pub async fn ask_once(&self, body: Body, limit: Duration) -> Option<Body> {
+        let link = self.link().await?;
+        match link.ask(body, limit).await {
             Ok(Body::NotLeader(n)) => {
                 self.leave(n.leader.parse().ok());
                 None
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -26,6 +26,9 @@
 /// Time between unreadiness and the refusal of new work, for balancers to notice.
 const UNREADY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Longest time for the last counts of a drain.
+const LAST_REPORT: Duration = Duration::from_secs(6);
+
 struct EntryRole {
     node: Arc<Node>,
     view: Arc<FleetView>,
@@ -79,8 +82,10 @@
         let (node, cx) = (Arc::clone(&node), cx.clone());
         async move { node.run_sync(&role, cx).await }
     });
+    // The last counts need the link to control, which ends with `cx`.
+    let burn_cx = CancellationToken::new();
     let burning = tokio::spawn({
-        let (node, cx) = (Arc::clone(&node), cx.clone());
+        let (node, cx) = (Arc::clone(&node), burn_cx.clone());
         async move { burn.run(node, cx).await }
     });
     let admin = http::add_probes(viz::Router::new(), node.readiness.clone(), node.metrics.clone());
@@ -96,8 +101,9 @@
     let limit = Duration::from_millis(common.drain_limit_ms);
     let under_way = || node.metrics.in_flight.get().max(0) as usize;
     process::drain(&log, &mut signals, limit, under_way).await;
+    burn_cx.cancel();
+    let _ = tokio::time::timeout(LAST_REPORT, burning).await;
     cx.cancel();
-    let _ = tokio::time::timeout(Duration::from_secs(6), burning).await;
     let _ = tokio::time::timeout(Duration::from_secs(2), served).await;
     sync.abort();
     event!(log, ProcessStopped);
--- a/src/events.rs
+++ b/src/events.rs
@@ -43,9 +43,6 @@
     ProcessDraining = 101, Info, "draining after a signal";
     ProcessStopped = 102, Info, "process stopped";
     DrainCutShort = 103, Warning, "drain ended with work left";
-    SettingsRefused = 104, Error, "settings refused";
-    LinkOpened = 200, Info, "link opened";
-    LinkLost = 201, Warning, "link lost";
     FrameRefused = 202, Warning, "frame refused";
     LeaderElected = 300, Info, "this replica leads";
     LeaderLost = 301, Warning, "this replica no longer leads";
@@ -84,7 +81,7 @@
     }
 }
 
-/// Logs a numbered event: `event!(log, LinkLost, "peer" => name)`.
+/// Logs a numbered event: `event!(log, EndpointLost, "endpoint" => name)`.
 #[macro_export]
 macro_rules! event {
     ($log:expr, $name:ident $(, $key:literal => $value:expr)* $(,)?) => {{
--- a/src/node.rs
+++ b/src/node.rs
@@ -26,7 +26,7 @@
 const SYNC_LIMIT: Duration = Duration::from_millis(2500);
 
 /// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Interval at which the lease is looked at.
 const LEASE_CHECK: Duration = Duration::from_millis(100);
@@ -146,6 +146,9 @@
 
     async fn sync_once(&self, role: &dyn SyncRole) -> bool {
         let sent_at = self.now();
+        // A lease that runs short is renewed at once instead of with the next news.
+        let short = self.lease.lock().remaining(sent_at) < HOLD * 2;
+        let hold = if short { Duration::ZERO } else { HOLD };
         let mut sync = Sync {
             node: self.name.to_string(),
             role: self.role.into(),
@@ -153,15 +156,13 @@
             incarnation: self.incarnation,
             address: self.address.clone(),
             config_version: self.lease.lock().version(),
-            hold_ms: HOLD.as_millis() as u64,
+            hold_ms: hold.as_millis() as u64,
             leaving: self.draining.is_cancelled(),
             ..Sync::default()
         };
         role.fill(&mut sync);
-        let Ok(Body::SyncReply(reply)) = self.control.call(Body::Sync(sync), SYNC_LIMIT).await
-        else {
-            return false;
-        };
+        let answer = self.control.ask_once(Body::Sync(sync), SYNC_LIMIT).await;
+        let Some(Body::SyncReply(reply)) = answer else { return false };
         let events = self.lease.lock().take(sent_at, &reply);
         let superseded = reply.superseded;
         for event in events {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -306,8 +306,9 @@
     pub config_version: u64,
     #[prost(bool, tag = "3")]
     pub config_full: bool,
-    #[prost(message, repeated, tag = "4")]
-    pub records: ::prost::alloc::vec::Vec<ConfigRecord>,
+    /// Encoded ConfigChanges, shared by all nodes of one version.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub changes: ::prost::bytes::Bytes,
     #[prost(uint64, tag = "5")]
     pub members_term: u64,
     #[prost(uint64, tag = "6")]
@@ -341,6 +342,12 @@
     #[prost(string, optional, tag = "3")]
     pub value: ::core::option::Option<::prost::alloc::string::String>,
 }
+/// Changed records of the configuration.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ConfigChanges {
+    #[prost(message, repeated, tag = "1")]
+    pub records: ::prost::alloc::vec::Vec<ConfigRecord>,
+}
 /// One endpoint as entries see it; `gone` removes it.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Member {
--- /dev/null
+++ b/tests/retries.rs
@@ -0,0 +1,115 @@
+//! Retries, budgets, circuit breakers and limits of workspaces.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitternlead::config::Workspace;
+use bitternlead::entry::breaker::Breaker;
+use bitternlead::entry::limits::{Limits, OverLimit};
+use bitternlead::entry::retry::{Ending, MOST_ATTEMPTS, Next, RetryBudget, RetryPlan};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+fn config() -> ProptestConfig {
+    let rng_seed = proptest::test_runner::RngSeed::Fixed(15);
+    ProptestConfig { cases: 500, rng_seed, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+    #[test]
+    fn only_what_is_safe_is_tried_again_and_never_past_the_deadline(
+        idempotent in any::<bool>(),
+        unknown in any::<bool>(),
+        attempts in 1u32..10,
+        now_ms in 0u64..3000,
+        spent in 0usize..20,
+        seed in any::<u64>(),
+    ) {
+        let deadline = Duration::from_millis(2000);
+        let now = Duration::from_millis(now_ms);
+        let mut plan = RetryPlan { idempotent, deadline, attempts };
+        let ending = if unknown { Ending::Unknown } else { Ending::NotRun };
+        let mut budget = RetryBudget::default();
+        let taken = (0..spent).filter(|_| budget.take()).count();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        match plan.decide(now, &ending, &mut budget, &mut rng) {
+            Next::Again(pause) => {
+                prop_assert!(idempotent || !unknown, "a booking that may have run");
+                prop_assert!(attempts < MOST_ATTEMPTS);
+                prop_assert!(now + pause < deadline);
+                prop_assert!(taken < 10, "the budget was spent");
+            }
+            Next::Stop => {
+                let safe = idempotent || !unknown;
+                let room = attempts < MOST_ATTEMPTS && now + Duration::from_millis(640) < deadline;
+                prop_assert!(!(safe && room && taken < 10), "stopped without a reason");
+            }
+        }
+    }
+}
+
+#[test]
+fn when_a_third_of_the_fleet_dies_retries_stay_a_share_of_fresh_requests() {
+    let mut budget = RetryBudget::default();
+    let (mut fresh, mut retries) = (0u64, 0u64);
+    for n in 0..10_000u64 {
+        fresh += 1;
+        budget.fresh(20);
+        // Every third attempt fails, and so does every third retry.
+        let mut failed = n % 3 == 0;
+        while failed && budget.take() {
+            retries += 1;
+            failed = retries % 3 == 0;
+        }
+    }
+    assert!(retries <= fresh * 20 / 100 + 10, "{retries} retries of {fresh} requests");
+}
+
+#[test]
+fn a_breaker_lets_one_probe_through_at_a_time_and_waits_longer_each_time() {
+    let mut breaker = Breaker::default();
+    let mut now = Duration::ZERO;
+    for _ in 0..3 {
+        assert!(breaker.allows(now));
+        breaker.failed(now);
+    }
+    let mut pauses = Vec::new();
+    for _ in 0..8 {
+        let start = now;
+        while !breaker.allows(now) {
+            now += Duration::from_millis(50);
+        }
+        pauses.push(now - start);
+        breaker.sent(now);
+        assert!(!breaker.allows(now), "one probe at a time");
+        breaker.failed(now);
+    }
+    assert!(pauses.is_sorted(), "{pauses:?}");
+    assert!(*pauses.last().unwrap() <= Duration::from_secs(10));
+    breaker.succeeded();
+    assert!(breaker.allows(now));
+}
+
+#[test]
+fn rate_and_concurrency_are_kept_over_time() {
+    let limits = Arc::new(Limits::default());
+    let workspace =
+        Workspace { name: "w".into(), requests_per_s: 10, concurrency: 5, ..Workspace::default() };
+    let mut admitted = 0;
+    for ms in 0..20_000u64 {
+        if limits.admit(Duration::from_millis(ms), &workspace, 1.0).is_ok() {
+            admitted += 1;
+        }
+    }
+    // Two seconds' worth may be saved up, then ten come in each of twenty seconds.
+    assert!((200..=221).contains(&admitted), "{admitted}");
+    let now = Duration::from_secs(100);
+    let held: Vec<_> = (0..5).map(|_| limits.admit(now, &workspace, 1.0).unwrap()).collect();
+    assert_eq!(limits.admit(now, &workspace, 1.0).unwrap_err(), OverLimit::Concurrency);
+    drop(held);
+    assert!(limits.admit(now, &workspace, 1.0).is_ok());
+    let half = limits.admit(now, &workspace, 0.5);
+    assert!(half.is_ok(), "an entry's share is its part of the whole");
+}
