Size the set for long prompts by need, and predict with the measured prefill rate

Cause: in the mix, prompts over 32,000 tokens carry three quarters of all prompt tokens, yet the set that took them was a third of the engines, at most two thirds, and grew only after 8 s of queue counted at the engines' peak rate, twice what they sustain. Long prompts queued up beside idle engines, and 40 were refused as busy. Change: the set grows from its base share once each of its engines has a second of queue, up to all but one engine in seven; agents measure the rate that an engine sustains.

--- a/src/agent/attempts.rs
+++ b/src/agent/attempts.rs
@@ -118,7 +118,7 @@
 
     async fn generate(&self, attempt: &Attempt, slot: &Slot, dispatch: Dispatch, body: Bytes) {
         let key = &attempt.key;
-        slot.begin_prefill(key, dispatch.prompt_tokens);
+        slot.begin_prefill(self.node.now(), key, dispatch.prompt_tokens);
         let generate = Generate {
             id: key.engine_id(),
             body,
@@ -151,7 +151,7 @@
             };
             match part {
                 Some(Ok(Generated::Text { text, tokens })) => {
-                    slot.end_prefill(key);
+                    slot.end_prefill(self.node.now(), key);
                     attempt.push(Bytes::from(text), tokens);
                 }
                 Some(Ok(Generated::Finished { reason, .. })) => {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -6,6 +6,7 @@
 pub mod ledger;
 pub mod orders;
 pub mod output;
+pub mod prefill_meter;
 pub mod role;
 pub mod run;
 pub mod run_once;
--- a/src/agent/slot.rs
+++ b/src/agent/slot.rs
@@ -9,6 +9,7 @@
 
 use super::admission::{Admission, AdmissionConfig, Admit, Ask, Step, Ticket};
 use super::ledger::{AttemptKey, Ledger};
+use super::prefill_meter::PrefillMeter;
 use crate::engine::http_engine::HttpEngine;
 use crate::engine::http_service::HttpService;
 use crate::engine::{Engine, EngineLoad, PlainService};
@@ -40,6 +41,7 @@
     waiters: HashMap<Ticket, Waiter>,
     running: usize,
     prefill: HashMap<AttemptKey, Tokens>,
+    meter: PrefillMeter,
     report: EngineLoad,
     fit: bool,
     suspects: HashSet<String>,
@@ -90,6 +92,7 @@
             waiters: HashMap::new(),
             running: 0,
             prefill: HashMap::new(),
+            meter: PrefillMeter::default(),
             report: EngineLoad::default(),
             fit: false,
             suspects: HashSet::new(),
@@ -129,19 +132,21 @@
     }
 
     /// Notes that an attempt's prompt waits for prefill.
-    pub fn begin_prefill(&self, key: &AttemptKey, tokens: Tokens) {
-        self.state.lock().prefill.insert(key.clone(), tokens);
+    pub fn begin_prefill(&self, now: Moment, key: &AttemptKey, tokens: Tokens) {
+        let mut state = self.state.lock();
+        state.prefill.insert(key.clone(), tokens);
+        state.meter.begin(now);
     }
 
     /// Notes an attempt's first token.
-    pub fn end_prefill(&self, key: &AttemptKey) {
-        self.state.lock().prefill.remove(key);
+    pub fn end_prefill(&self, now: Moment, key: &AttemptKey) {
+        self.state.lock().end_prefill(now, key, true);
     }
 
     /// Ends an attempt whose memory the endpoint has confirmed free.
     pub fn finish(&self, now: Moment, key: &AttemptKey) {
         let mut state = self.state.lock();
-        state.prefill.remove(key);
+        state.end_prefill(now, key, false);
         if state.ledger.confirm_release(key).is_some() {
             state.running = state.running.saturating_sub(1);
         }
@@ -151,7 +156,7 @@
     /// Ends an attempt whose memory the endpoint may still hold.
     pub fn begin_release(&self, now: Moment, key: &AttemptKey) {
         let mut state = self.state.lock();
-        state.prefill.remove(key);
+        state.end_prefill(now, key, false);
         state.ledger.begin_release(now, key);
     }
 
@@ -205,7 +210,7 @@
             queued_prefill_tokens: state.prefill.values().sum(),
             kv_reserved: state.ledger.reserved(),
             kv_capacity: state.ledger.capacity(),
-            prefill_rate: state.report.prefill_rate,
+            prefill_rate: state.meter.rate().unwrap_or(state.report.prefill_rate),
             giants: 0,
             queued_short_tokens: state.prefill.values().filter(|t| **t <= SHORT_PROMPT).sum(),
         }
@@ -224,6 +229,13 @@
 }
 
 impl SlotState {
+    /// Ends an attempt's prefill once; one that broke off counts no tokens.
+    fn end_prefill(&mut self, now: Moment, key: &AttemptKey, whole: bool) {
+        if let Some(tokens) = self.prefill.remove(key) {
+            self.meter.end(now, if whole { tokens } else { 0 });
+        }
+    }
+
     fn step(&mut self, now: Moment) {
         loop {
             let free = self.ledger.capacity().saturating_sub(self.ledger.reserved());
--- a/src/entry/router/predicted.rs
+++ b/src/entry/router/predicted.rs
@@ -8,6 +8,9 @@
 use crate::agent::slot::SHORT_PROMPT;
 use crate::ids::Tokens;
 
+/// One engine in so many, and at least one, never takes long prompts.
+const FREE_PART: usize = 7;
+
 /// Settings of the prediction.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Predicted {
@@ -37,7 +40,7 @@
             zone_cost_s: 0.003,
             memory_cost_s: 2.0,
             harm_weight: 0.05,
-            grow_at_s: 8.0,
+            grow_at_s: 1.0,
             sample_above: 32,
             sample: 8,
         }
@@ -91,10 +94,10 @@
             return order;
         }
         order.sort_by_cached_key(|i| xxh3_64(candidates[*i].endpoint.as_bytes()));
-        let share = |percent: u64| (order.len() as u64 * percent).div_ceil(100).max(1) as usize;
-        let base = share(req.limits.long_share_percent).min(order.len() - 1);
-        let most = share(req.limits.long_share_percent * 2).min(order.len() - 1);
-        let mut size = base;
+        let count = order.len();
+        let share = (count as u64 * req.limits.long_share_percent).div_ceil(100).max(1) as usize;
+        let most = count - (count / FREE_PART).max(1);
+        let mut size = share.min(most);
         while size < most && order[..size].iter().all(|i| self.is_busy(&candidates[*i])) {
             size += 1;
         }
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -440,6 +440,9 @@
     bench.hosts[(leader + 1) % 3].deaf_to = Some(bench.hosts[leader].id);
     bench.run_until(20_000, |_| false);
     assert_eq!(bench.leader(), Some(leader));
+    bench.hosts[(leader + 1) % 3].deaf_to = None;
+    bench.run_until(5_000, |_| false);
+    assert_eq!(bench.leader(), Some(leader), "nor once it hears it again");
     assert_eq!(bench.hosts[leader].raft.as_ref().unwrap().term(), term);
 }
 
