Serve prompts over one engine's memory by a group of engines

Cause: they were refused, and they are more than twice an engine's memory. Before: 413 for a prompt of 700,000 tokens on engines of 300,000.

--- a/examples/stand_in/engine.rs
+++ b/examples/stand_in/engine.rs
@@ -56,6 +56,8 @@
     pub prompt: String,
     pub output: u64,
     pub priority: u32,
+    /// Hold the memory after prefill instead of answering.
+    pub hold: bool,
 }
 
 /// What a completion produces.
@@ -75,6 +77,7 @@
     output_left: u64,
     stem: String,
     next: u64,
+    hold: bool,
     blocks: Vec<u64>,
     tx: mpsc::UnboundedSender<Produced>,
 }
@@ -85,6 +88,8 @@
     waiting: BTreeMap<(u32, u64), Sequence>,
     running: Vec<Sequence>,
     memory: u64,
+    held: HashMap<String, (u64, u64)>,
+    imports: HashMap<String, u64>,
     cache: VecDeque<u64>,
     events: VecDeque<(Instant, CacheEvent)>,
     event_number: u64,
@@ -173,6 +178,7 @@
             output_left: ask.output,
             stem,
             next,
+            hold: ask.hold,
             blocks,
             tx,
         };
@@ -194,10 +200,28 @@
             state.memory -= sequence.memory;
             let _ = sequence.tx.send(Produced::Cancelled);
         }
+        if let Some((memory, _)) = state.held.remove(id) {
+            state.memory -= memory;
+        }
         drop(state);
         self.work.notify_one();
     }
 
+    /// Tokens that are held for other engines.
+    pub fn held_tokens(&self, id: &str) -> Option<u64> {
+        self.state.lock().held.get(id).map(|h| h.1)
+    }
+
+    /// Notes memory of another engine that an attempt attends to.
+    pub fn import(&self, id: &str, tokens: u64) {
+        *self.state.lock().imports.entry(id.to_owned()).or_default() += tokens;
+    }
+
+    /// Tokens of other engines by attempt.
+    pub fn imports(&self) -> HashMap<String, u64> {
+        self.state.lock().imports.clone()
+    }
+
     /// The load report as it was a little while ago.
     pub fn lagged_load(&self) -> EngineLoad {
         self.state.lock().report.clone()
@@ -208,7 +232,7 @@
         let state = self.state.lock();
         let all = || state.waiting.values().chain(&state.running);
         EngineLoad {
-            running: all().map(|s| s.id.clone()).collect(),
+            running: all().map(|s| &s.id).chain(state.held.keys()).cloned().collect(),
             kv_used: state.memory,
             kv_capacity: self.cfg.kv_tokens,
             queued_prefill: all().map(|s| s.prefill_left).sum(),
@@ -308,6 +332,7 @@
     fn finish_step(&self, taken: &HashMap<String, u64>) {
         let mut state = self.state.lock();
         let mut done = Vec::new();
+        let mut held = Vec::new();
         let mut read = Vec::new();
         for sequence in &mut state.running {
             if sequence.prefill_left > 0 {
@@ -318,6 +343,11 @@
                 }
                 read.extend(sequence.blocks.iter().copied());
             }
+            if sequence.hold {
+                let _ = sequence.tx.send(Produced::End { reason: "held", cached: 0 });
+                held.push(sequence.id.clone());
+                continue;
+            }
             let token = format!("{}-{} ", sequence.stem, sequence.next);
             sequence.next += 1;
             sequence.output_left -= 1;
@@ -328,6 +358,11 @@
                 done.push(sequence.id.clone());
             }
         }
+        for id in held {
+            let Some(at) = state.running.iter().position(|s| s.id == id) else { continue };
+            let sequence = state.running.remove(at);
+            state.held.insert(id, (sequence.memory, sequence.memory));
+        }
         let freed: u64 =
             state.running.iter().filter(|s| done.contains(&s.id)).map(|s| s.memory).sum();
         state.running.retain(|s| !done.contains(&s.id));
--- a/examples/stand_in/engine_http.rs
+++ b/examples/stand_in/engine_http.rs
@@ -32,8 +32,10 @@
         .get("/cache-events", route(|e, r| Box::pin(events(e, r))))
         .post("/orders", route(|e, r| Box::pin(order(e, r))))
         .get("/orders", route(|e, _| Box::pin(async move { ok(&e.order_log()) })))
+        .post("/kv/prefill", route(|e, r| Box::pin(prefill(e, r))))
+        .get("/imports", route(|e, _| Box::pin(async move { ok(&e.imports()) })))
         .post("/kv/export", route(|e, r| Box::pin(export(e, r))))
-        .post("/kv/import", route(|_, r| Box::pin(import(r))))
+        .post("/kv/import", route(|e, r| Box::pin(import(e, r))))
 }
 
 type Reply = std::pin::Pin<Box<dyn Future<Output = Response> + Send>>;
@@ -62,7 +64,7 @@
     let body = read(req).await;
     let prompt = prompt_of(&body, chat);
     let output = body["max_tokens"].as_u64().unwrap_or(16);
-    let rx = match engine.ask(Ask { id, prompt, output, priority }) {
+    let rx = match engine.ask(Ask { id, prompt, output, priority, hold: false }) {
         Ok(rx) => rx,
         Err(e) => return json(StatusCode::BAD_REQUEST, &json!({ "error": e })),
     };
@@ -121,14 +123,31 @@
 async fn export(engine: Arc<StandInEngine>, req: Request) -> Response {
     let body = read(req).await;
     let id = body["request_id"].as_str().unwrap_or_default().to_owned();
-    let known = engine.true_load().running.contains(&id);
-    match known {
-        true => ok(&KvTransfer { id, from: String::new(), tokens: 0 }),
-        false => json(StatusCode::NOT_FOUND, &json!({ "error": "not held" })),
+    match engine.held_tokens(&id) {
+        Some(tokens) => ok(&KvTransfer { id, from: String::new(), tokens }),
+        None => json(StatusCode::NOT_FOUND, &json!({ "error": "not held" })),
     }
 }
 
-async fn import(req: Request) -> Response {
-    let _ = read(req).await;
+async fn import(engine: Arc<StandInEngine>, req: Request) -> Response {
+    let body = read(req).await;
+    let tokens = body["source"]["tokens"].as_u64().unwrap_or(0);
+    engine.import(body["request_id"].as_str().unwrap_or_default(), tokens);
     ok(&json!({}))
 }
+
+/// Reads a part of a prompt and answers once it is held.
+async fn prefill(engine: Arc<StandInEngine>, req: Request) -> Response {
+    let id: String = req.header("x-request-id").unwrap_or_default();
+    let priority: u32 = req.header("x-priority").unwrap_or(0);
+    let prompt = prompt_of(&read(req).await, false);
+    let ask = Ask { id, prompt, output: 0, priority, hold: true };
+    let mut rx = match engine.ask(ask) {
+        Ok(rx) => rx,
+        Err(e) => return json(StatusCode::BAD_REQUEST, &json!({ "error": e })),
+    };
+    match rx.recv().await {
+        Some(Produced::End { .. }) => ok(&json!({})),
+        _ => json(StatusCode::CONFLICT, &json!({ "error": "cancelled" })),
+    }
+}
--- a/src/agent/attempts.rs
+++ b/src/agent/attempts.rs
@@ -14,15 +14,19 @@
 use super::run_once::{Entry, RunOnce};
 use super::settle::Settler;
 use super::slot::{Asked, Slot, Turn};
-use crate::engine::{EngineError, Generate, Generated, ServiceAnswer, ServiceCall};
+use crate::engine::{EngineError, Generate, Generated, KvTransfer, ServiceAnswer, ServiceCall};
 use crate::faults;
+use crate::ids::Tokens;
 use crate::node::Node;
 use crate::wire::envelope::Body;
-use crate::wire::{Dispatch, End, Failed, Refused};
+use crate::wire::{Dispatch, End, Failed, KvSource, Refused};
 
 /// Shortest time after which a refused caller may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 500;
 
+/// Longest wait of a segment for its memory, while others of its group hold theirs.
+const SEGMENT_WAIT: Duration = Duration::from_millis(1000);
+
 /// Time that a finished attempt can be attached to again.
 pub const LINGER: Duration = Duration::from_secs(2);
 
@@ -50,12 +54,14 @@
         let now = self.node.now();
         let is_service = !dispatch.method.is_empty();
         let tokens = if is_service { 0 } else { dispatch.prompt_tokens + dispatch.output_tokens };
+        let remaining = Duration::from_millis(dispatch.remaining_ms);
+        let patience = if dispatch.segments > 0 { remaining.min(SEGMENT_WAIT) } else { remaining };
         let ask = Ask {
             workspace: dispatch.workspace.as_str().into(),
             weight: u64::from(dispatch.weight),
             priority: dispatch.priority,
             tokens,
-            deadline: now + Duration::from_millis(dispatch.remaining_ms),
+            deadline: now + patience,
         };
         let (ticket, turn) = match slot.ask(now, &attempt.key, ask) {
             Asked::Waits(ticket, turn) => (ticket, turn),
@@ -83,8 +89,48 @@
         }
         if is_service {
             self.call_service(attempt, slot, dispatch, body).await;
+        } else if dispatch.segments > 0 {
+            slot.count_giants(1);
+            self.run_segment(attempt, slot, dispatch, body).await;
+            slot.count_giants(-1);
         } else {
-            self.generate(attempt, slot, dispatch, body).await;
+            let generate = build_generate(&attempt.key, &dispatch, body, Vec::new());
+            self.generate(attempt, slot, dispatch.prompt_tokens, generate).await;
+        }
+    }
+
+    /// Runs a part of a prompt that a group shares: holds its memory, reads it when told, and
+    /// keeps it until cancelled; the last part generates the answer.
+    async fn run_segment(&self, attempt: &Attempt, slot: &Slot, dispatch: Dispatch, body: Bytes) {
+        attempt.set_held(None);
+        let sources = tokio::select! {
+            biased;
+            () = attempt.cx.cancelled() => {
+                slot.finish(self.node.now(), &attempt.key);
+                attempt.end(Body::Failed(failed(&attempt.key, "group given up", false)));
+                return;
+            }
+            sources = attempt.wait_go() => sources,
+        };
+        faults::reach("agent.segment");
+        let generate = build_generate(&attempt.key, &dispatch, body, sources);
+        if dispatch.segment == dispatch.segments {
+            return self.generate(attempt, slot, dispatch.prompt_tokens, generate).await;
+        }
+        slot.begin_prefill(self.node.now(), &attempt.key, dispatch.prompt_tokens);
+        let read = tokio::select! {
+            biased;
+            () = attempt.cx.cancelled() => return self.abandon(attempt, slot, "cancelled"),
+            read = slot.engine.prefill(generate) => read,
+        };
+        match read {
+            Ok(KvTransfer { id, from, tokens }) => {
+                slot.end_prefill(self.node.now(), &attempt.key);
+                attempt.set_held(Some(KvSource { engine: from, id, tokens }));
+                attempt.cx.cancelled().await;
+                self.abandon(attempt, slot, "group ended");
+            }
+            Err(e) => self.abandon(attempt, slot, &e.to_string()),
         }
     }
 
@@ -116,15 +162,15 @@
         }
     }
 
-    async fn generate(&self, attempt: &Attempt, slot: &Slot, dispatch: Dispatch, body: Bytes) {
+    async fn generate(
+        &self,
+        attempt: &Attempt,
+        slot: &Slot,
+        prompt_tokens: Tokens,
+        generate: Generate,
+    ) {
         let key = &attempt.key;
-        slot.begin_prefill(self.node.now(), key, dispatch.prompt_tokens);
-        let generate = Generate {
-            id: key.engine_id(),
-            body,
-            chat: dispatch.chat,
-            priority: dispatch.priority,
-        };
+        slot.begin_prefill(self.node.now(), key, prompt_tokens);
         let started = tokio::select! {
             biased;
             () = attempt.cx.cancelled() => {
@@ -218,6 +264,22 @@
     }
 }
 
+fn build_generate(
+    key: &AttemptKey,
+    dispatch: &Dispatch,
+    body: Bytes,
+    sources: Vec<KvSource>,
+) -> Generate {
+    let transfer = |s: KvSource| KvTransfer { id: s.id, from: s.engine, tokens: s.tokens };
+    Generate {
+        id: key.engine_id(),
+        body,
+        chat: dispatch.chat,
+        priority: dispatch.priority,
+        sources: sources.into_iter().map(transfer).collect(),
+    }
+}
+
 fn refused(key: &AttemptKey, slot: Option<&Slot>, reason: &str) -> Refused {
     Refused {
         request: key.request.to_string(),
--- a/src/agent/output.rs
+++ b/src/agent/output.rs
@@ -7,11 +7,12 @@
 
 use super::ledger::AttemptKey;
 use crate::wire::envelope::Body;
-use crate::wire::{Chunk, Head};
+use crate::wire::{Chunk, Head, Held, KvSource};
 
 #[derive(Default)]
 struct Produced {
-    head: Option<Head>,
+    marks: Vec<Body>,
+    go: Option<Vec<KvSource>>,
     chunks: Vec<Chunk>,
     count: u64,
     end: Option<Body>,
@@ -39,10 +40,39 @@
         let request = self.key.request.to_string();
         let attempt = self.key.attempt;
         let status = u32::from(status);
-        self.produced.lock().head = Some(Head { request, attempt, status, content_type });
+        self.mark(Body::Head(Head { request, attempt, status, content_type }));
+    }
+
+    /// Tells that a segment's memory is reserved, or read and held under a source.
+    pub fn set_held(&self, source: Option<KvSource>) {
+        let request = self.key.request.to_string();
+        self.mark(Body::Held(Held { request, attempt: self.key.attempt, source }));
+    }
+
+    fn mark(&self, body: Body) {
+        self.produced.lock().marks.push(body);
         self.changed.notify_waiters();
     }
 
+    /// Lets a segment be read; only the first call counts.
+    pub fn set_go(&self, sources: Vec<KvSource>) {
+        self.produced.lock().go.get_or_insert(sources);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until the segment may be read, and returns what it builds on.
+    pub async fn wait_go(&self) -> Vec<KvSource> {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if let Some(sources) = self.produced.lock().go.clone() {
+                return sources;
+            }
+            changed.await;
+        }
+    }
+
     /// Adds a part of `len` units.
     pub fn push(&self, data: Bytes, len: u64) {
         let mut produced = self.produced.lock();
@@ -107,7 +137,7 @@
 /// How far an attachment has sent.
 #[derive(Clone, Debug, Default)]
 pub struct Cursor {
-    head_sent: bool,
+    next_mark: usize,
     next_chunk: usize,
     over: bool,
 }
@@ -118,7 +148,7 @@
         let produced = attempt.produced.lock();
         let at = produced.chunks.partition_point(|c| c.offset < offset);
         let begins = produced.chunks.get(at).map_or(produced.count, |c| c.offset);
-        (begins == offset).then_some(Self { head_sent: false, next_chunk: at, over: false })
+        (begins == offset).then_some(Self { next_mark: 0, next_chunk: at, over: false })
     }
 
     /// Whether the final message was taken.
@@ -128,10 +158,8 @@
 
     fn collect(&mut self, produced: &Produced) -> Vec<Body> {
         let mut news = Vec::new();
-        if let Some(head) = produced.head.as_ref().filter(|_| !self.head_sent) {
-            self.head_sent = true;
-            news.push(Body::Head(head.clone()));
-        }
+        news.extend(produced.marks[self.next_mark..].iter().cloned());
+        self.next_mark = produced.marks.len();
         for chunk in &produced.chunks[self.next_chunk.min(produced.chunks.len())..] {
             news.push(Body::Chunk(chunk.clone()));
         }
--- a/src/agent/server.rs
+++ b/src/agent/server.rs
@@ -18,7 +18,7 @@
 use crate::faults;
 use crate::wire::envelope::Body;
 use crate::wire::server::{Conn, Handler};
-use crate::wire::{Cancel, Dispatch, Refused, Resume};
+use crate::wire::{Cancel, Dispatch, Go, Refused, Resume};
 
 /// Time that an attempt goes on without a link to its entry.
 const DETACHED_LIMIT: Duration = Duration::from_millis(1500);
@@ -229,6 +229,13 @@
         }
     }
 
+    fn go(&self, go: Go) {
+        let key = AttemptKey::new(&go.request, go.attempt);
+        if let Some(attempt) = self.shard(&key).lock().get(&key) {
+            attempt.set_go(go.sources);
+        }
+    }
+
     /// Reports the load of all endpoints on a call until its connection is lost.
     fn report_load(&self, conn: &Conn, call: u64) {
         let conn = conn.clone();
@@ -260,6 +267,7 @@
             Body::Cancel(cancel) => self.cancel(conn, call, &cancel),
             Body::Resume(resume) => self.resume(conn, call, &resume),
             Body::Load(_) => self.report_load(conn, call),
+            Body::Go(go) => self.go(go),
             _ => {
                 let conn = conn.clone();
                 tokio::spawn(async move {
--- a/src/agent/slot.rs
+++ b/src/agent/slot.rs
@@ -42,6 +42,7 @@
     running: usize,
     prefill: HashMap<AttemptKey, Tokens>,
     meter: PrefillMeter,
+    giants: u64,
     report: EngineLoad,
     fit: bool,
     suspects: HashSet<String>,
@@ -93,6 +94,7 @@
             running: 0,
             prefill: HashMap::new(),
             meter: PrefillMeter::default(),
+            giants: 0,
             report: EngineLoad::default(),
             fit: false,
             suspects: HashSet::new(),
@@ -138,6 +140,12 @@
         state.meter.begin(now);
     }
 
+    /// Counts the segments of groups that are held here.
+    pub fn count_giants(&self, change: i64) {
+        let mut state = self.state.lock();
+        state.giants = state.giants.saturating_add_signed(change);
+    }
+
     /// Notes an attempt's first token.
     pub fn end_prefill(&self, now: Moment, key: &AttemptKey) {
         self.state.lock().end_prefill(now, key, true);
@@ -211,7 +219,7 @@
             kv_reserved: state.ledger.reserved(),
             kv_capacity: state.ledger.capacity(),
             prefill_rate: state.meter.rate().unwrap_or(state.report.prefill_rate),
-            giants: 0,
+            giants: state.giants,
             queued_short_tokens: state.prefill.values().filter(|t| **t <= SHORT_PROMPT).sum(),
         }
     }
--- a/src/engine/http_engine.rs
+++ b/src/engine/http_engine.rs
@@ -8,6 +8,7 @@
 use futures::future::BoxFuture;
 use futures::stream::{self, BoxStream, StreamExt};
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -56,19 +57,43 @@
         req: Generate,
     ) -> Result<BoxStream<'static, Result<Generated, EngineError>>, EngineError> {
         let path = if req.chat { "/v1/chat/completions" } else { "/v1/completions" };
+        let response = self.send_prompt(path, req).await?;
+        if response.status() != 200 {
+            let (status, data) = read_whole(response).await?;
+            return Err(refused(status, &data));
+        }
+        let state = AnswerState::new(response.into_body());
+        Ok(stream::unfold(state, AnswerState::next).boxed())
+    }
+}
+
+impl HttpEngine {
+    /// Imports the memory that a prompt builds on, then sends the prompt.
+    async fn send_prompt(
+        &self,
+        path: &str,
+        req: Generate,
+    ) -> Result<Response<Incoming>, EngineError> {
+        for source in req.sources {
+            self.import_kv(&req.id, source).await?;
+        }
         let mut http = request("POST", path, req.body)?;
         let headers = http.headers_mut();
         let id = req.id.parse().map_err(broken)?;
         headers.insert("x-request-id", id);
         headers.insert("x-priority", req.priority.into());
         faults::reach("agent.engine.send");
-        let response = self.client.send_fresh(http).await?;
-        if response.status() != 200 {
-            let (status, data) = read_whole(response).await?;
+        self.client.send_fresh(http).await
+    }
+
+    async fn read_segment(&self, req: Generate) -> Result<KvTransfer, EngineError> {
+        let id = req.id.clone();
+        let response = self.send_prompt("/kv/prefill", req).await?;
+        let (status, data) = read_whole(response).await?;
+        if status != 200 {
             return Err(refused(status, &data));
         }
-        let state = AnswerState::new(response.into_body());
-        Ok(stream::unfold(state, AnswerState::next).boxed())
+        self.export_kv(&id).await
     }
 }
 
@@ -228,6 +253,10 @@
         Box::pin(async move { self.ask("POST", "/orders", body).await.map(|_| ()) })
     }
 
+    fn prefill(&self, req: Generate) -> BoxFuture<'_, Result<KvTransfer, EngineError>> {
+        Box::pin(self.read_segment(req))
+    }
+
     fn export_kv(&self, id: &str) -> BoxFuture<'_, Result<KvTransfer, EngineError>> {
         let body = to_json(&serde_json::json!({ "request_id": id }));
         Box::pin(async move {
@@ -236,8 +265,8 @@
         })
     }
 
-    fn import_kv(&self, transfer: KvTransfer) -> BoxFuture<'_, Result<(), EngineError>> {
-        let body = to_json(&transfer);
+    fn import_kv(&self, id: &str, from: KvTransfer) -> BoxFuture<'_, Result<(), EngineError>> {
+        let body = to_json(&serde_json::json!({ "request_id": id, "source": from }));
         Box::pin(async move { self.ask("POST", "/kv/import", body).await.map(|_| ()) })
     }
 }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -49,6 +49,8 @@
     pub chat: bool,
     /// Priority level; lower is sooner.
     pub priority: u32,
+    /// Memory of other engines that holds the prompt before this part.
+    pub sources: Vec<KvTransfer>,
 }
 
 /// Part of a generated answer.
@@ -109,7 +111,7 @@
     pub argument: String,
 }
 
-/// KV memory handed from one engine to another.
+/// KV memory that one engine holds and others attend to.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct KvTransfer {
     /// Name of the attempt.
@@ -140,11 +142,14 @@
     /// Gives an order.
     fn order(&self, order: EngineOrder) -> BoxFuture<'_, Result<(), EngineError>>;
 
-    /// Prepares the memory of an attempt for another engine.
+    /// Reads a part of a prompt and holds its memory until cancelled.
+    fn prefill(&self, req: Generate) -> BoxFuture<'_, Result<KvTransfer, EngineError>>;
+
+    /// Offers the memory of an attempt to other engines.
     fn export_kv(&self, id: &str) -> BoxFuture<'_, Result<KvTransfer, EngineError>>;
 
-    /// Takes over memory from another engine.
-    fn import_kv(&self, transfer: KvTransfer) -> BoxFuture<'_, Result<(), EngineError>>;
+    /// Lets an attempt attend to memory of another engine.
+    fn import_kv(&self, id: &str, from: KvTransfer) -> BoxFuture<'_, Result<(), EngineError>>;
 }
 
 /// A call of a plain service.
--- a/src/entry/assembly.rs
+++ b/src/entry/assembly.rs
@@ -5,7 +5,7 @@
 
 use crate::ids::AttemptNumber;
 use crate::wire::envelope::Body;
-use crate::wire::{Failed, Refused};
+use crate::wire::{Failed, KvSource, Refused};
 
 /// What a frame means for the answer.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,6 +24,8 @@
         /// Content type.
         content_type: String,
     },
+    /// Memory of a segment is reserved, or its prompt was read and is held.
+    Held(Option<KvSource>),
     /// The answer is whole.
     End {
         /// stop or length.
@@ -89,6 +91,7 @@
                 let status = u16::try_from(h.status).unwrap_or(502);
                 Part::Head { status, content_type: h.content_type }
             }
+            Body::Held(h) => Part::Held(h.source),
             Body::End(e) if e.count != self.next => Part::Gap,
             Body::End(e) => {
                 self.over = true;
@@ -110,6 +113,7 @@
         let (request, attempt) = match body {
             Body::Chunk(m) => (&m.request, m.attempt),
             Body::Head(m) => (&m.request, m.attempt),
+            Body::Held(m) => (&m.request, m.attempt),
             Body::End(m) => (&m.request, m.attempt),
             Body::Refused(m) => (&m.request, m.attempt),
             Body::Failed(m) => (&m.request, m.attempt),
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -12,7 +12,7 @@
 use crate::ids::AttemptNumber;
 use crate::wire::envelope::Body;
 use crate::wire::link::{Call, LinkError};
-use crate::wire::{BodyPart, Cancel, Dispatch, Resume};
+use crate::wire::{BodyPart, Cancel, Dispatch, Go, KvSource, Resume};
 
 /// Bytes of a body in one frame.
 const PART_BYTES: usize = 64 * 1024;
@@ -94,6 +94,12 @@
         true
     }
 
+    /// Lets a segment be read after those whose memory it builds on.
+    pub async fn go(&self, sources: Vec<KvSource>) -> bool {
+        let (request, attempt) = (self.request.clone(), self.attempt);
+        self.call.send(Body::Go(Go { request, attempt, sources })).await.is_ok()
+    }
+
     fn cancel_message(&self) -> Body {
         Body::Cancel(Cancel { request: self.request.clone(), attempt: self.attempt })
     }
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -23,6 +23,7 @@
 use super::openai;
 use super::request::{Job, Work};
 use super::retry::{Ending, Next, RetryPlan};
+use super::router::group::needs_group;
 use super::router::{Candidate, Predicted, RouteRequest, Router, first_token_estimate};
 use crate::config::Priority;
 use crate::event;
@@ -77,19 +78,18 @@
 }
 
 /// State of one request between attempts.
-struct Course {
-    plan: RetryPlan,
+pub(super) struct Course {
+    pub(super) plan: RetryPlan,
     avoid: Vec<EndpointName>,
-    streamed: String,
-    tokens: u64,
+    pub(super) streamed: String,
+    pub(super) tokens: u64,
     claim: u64,
-    not_run_reason: String,
 }
 
 /// End of an attempt that is not the end of its request.
-struct Setback {
-    ending: Ending,
-    reason: String,
+pub(super) struct Setback {
+    pub(super) ending: Ending,
+    pub(super) reason: String,
 }
 
 impl Driver {
@@ -125,14 +125,8 @@
         self.limits.with_budget(&job.workspace.name, |b| b.fresh(percent));
         let idempotent = job.is_idempotent();
         let plan = RetryPlan { idempotent, deadline: job.deadline, attempts: 0 };
-        let mut course = Course {
-            plan,
-            avoid: Vec::new(),
-            streamed: String::new(),
-            tokens: 0,
-            claim,
-            not_run_reason: String::new(),
-        };
+        let mut course =
+            Course { plan, avoid: Vec::new(), streamed: String::new(), tokens: 0, claim };
         let left = job.deadline.saturating_sub(self.node.now());
         let whole = self.attempt_until_done(job, &mut course, tx, cx);
         let ended = tokio::select! {
@@ -176,7 +170,14 @@
         tx: &mpsc::Sender<Progress>,
         cx: &CancellationToken,
     ) -> Result<Progress, Setback> {
-        let route = match self.choose(job, course) {
+        let (req, candidates) = self.candidates(job, course);
+        if matches!(job.work, Work::Completion { .. })
+            && !candidates.is_empty()
+            && needs_group(&req, &candidates)
+        {
+            return self.attempt_group(job, course, &req, &candidates, tx, cx).await;
+        }
+        let route = match self.choose(job, course, &req, &candidates) {
             Ok(route) => route,
             Err(failure) => return Ok(Progress::Failed(failure)),
         };
@@ -207,7 +208,7 @@
         read
     }
 
-    async fn read_parts(
+    pub(super) async fn read_parts(
         &self,
         job: &Job,
         course: &mut Course,
@@ -244,7 +245,6 @@
                     if let Some(load) = refused.load {
                         self.view.report(self.node.now(), load);
                     }
-                    course.not_run_reason.clone_from(&refused.reason);
                     return Err(Setback { ending: Ending::NotRun, reason: refused.reason });
                 }
                 Some(Part::Failed(failed)) if !failed.ran => {
@@ -258,7 +258,7 @@
                         return Err(unknown("the answer was lost on its way"));
                     }
                 }
-                Some(Part::Dropped) => {}
+                Some(Part::Dropped | Part::Held(_)) => {}
             }
         }
     }
@@ -277,31 +277,41 @@
         Progress::Failed(late(job))
     }
 
-    fn choose(&self, job: &Job, course: &Course) -> Result<Route, Failure> {
-        let now = self.node.now();
+    fn candidates(&self, job: &Job, course: &Course) -> (RouteRequest, Vec<Candidate>) {
         let config = self.node.config();
+        let now = self.node.now();
         let candidates = self.view.candidates(now, &job.target, &config, &course.avoid, &job.chain);
-        if candidates.is_empty() {
-            return Err(self.no_endpoint(course, "no endpoint is there for it now"));
-        }
         let req = RouteRequest {
-            prompt_tokens: job.prompt_tokens,
-            output_tokens: job.output_tokens,
+            prompt_tokens: job.prompt_tokens + course.tokens,
+            output_tokens: job.output_tokens.saturating_sub(course.tokens),
             zone: self.node.zone.clone(),
             limits: config.limits.clone(),
         };
+        (req, candidates)
+    }
+
+    fn choose(
+        &self,
+        job: &Job,
+        course: &Course,
+        req: &RouteRequest,
+        candidates: &[Candidate],
+    ) -> Result<Route, Failure> {
+        if candidates.is_empty() {
+            return Err(self.no_endpoint(course, "no endpoint is there for it now"));
+        }
         let chosen = {
             let mut rng = self.rng.lock();
-            self.router.choose(&req, &candidates, &mut rng)
+            self.router.choose(req, candidates, &mut rng)
         };
         let Some(chosen) = chosen else {
             return Err(self.too_large(job));
         };
         let candidate = &candidates[chosen];
-        self.shed(job, course, &req, candidate)?;
+        self.shed(job, course, req, candidate)?;
         let prefill = job.prompt_tokens.saturating_sub(candidate.cached);
         let sent = Sent { prefill, memory: job.prompt_tokens + job.output_tokens };
-        let route = self.view.send(now, &candidate.endpoint, sent, &job.chain);
+        let route = self.view.send(self.node.now(), &candidate.endpoint, sent, &job.chain);
         route.ok_or_else(|| self.no_endpoint(course, "the endpoint has just left"))
     }
 
@@ -353,7 +363,7 @@
         }
     }
 
-    fn too_large(&self, job: &Job) -> Failure {
+    pub(super) fn too_large(&self, job: &Job) -> Failure {
         let need = job.prompt_tokens + job.output_tokens;
         let most = self.view.largest_memory(&job.target);
         let text = format!(
@@ -363,11 +373,16 @@
         Failure::not_run(StatusCode::PAYLOAD_TOO_LARGE, "prompt_too_large", text)
     }
 
-    fn spread_pause(&self) -> Duration {
+    pub(super) fn spread_pause(&self) -> Duration {
         Duration::from_millis(self.rng.lock().random_range(1000..3000))
     }
 
-    fn build_dispatch(&self, job: &Job, course: &Course, route: &Route) -> (Dispatch, Bytes) {
+    pub(super) fn build_dispatch(
+        &self,
+        job: &Job,
+        course: &Course,
+        route: &Route,
+    ) -> (Dispatch, Bytes) {
         let left = job.deadline.saturating_sub(self.node.now());
         let mut dispatch = Dispatch {
             request: job.request.to_string(),
--- a/src/entry/openai.rs
+++ b/src/entry/openai.rs
@@ -136,6 +136,25 @@
     serde_json::to_vec(&fields).unwrap_or_default().into()
 }
 
+/// Bodies of the parts of a prompt that a group of engines shares, in equal parts.
+///
+/// `None` for chats, whose messages only an engine can put together.
+pub fn split_body(body: &Bytes, parts: usize) -> Option<Vec<Bytes>> {
+    let mut fields: Map<String, Value> = serde_json::from_slice(body).ok()?;
+    let Some(Value::String(prompt)) = fields.remove("prompt") else { return None };
+    let size = prompt.len().div_ceil(parts);
+    let mut bodies = Vec::new();
+    let mut start = 0;
+    for part in 1..=parts {
+        let wanted = if part == parts { prompt.len() } else { (size * part).min(prompt.len()) };
+        let end = (wanted..=prompt.len()).find(|at| prompt.is_char_boundary(*at))?;
+        fields.insert("prompt".into(), prompt[start..end].into());
+        bodies.push(Bytes::from(serde_json::to_vec(&fields).ok()?));
+        start = end;
+    }
+    Some(bodies)
+}
+
 /// Names that an answer repeats in each of its parts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AnswerShape {
--- a/src/entry/router/mod.rs
+++ b/src/entry/router/mod.rs
@@ -1,5 +1,6 @@
 //! Chooses an endpoint for an attempt.
 
+pub mod group;
 mod least_requests;
 mod predicted;
 mod random_two;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -6,7 +6,7 @@
     pub call: u64,
     #[prost(
         oneof = "envelope::Body",
-        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 30, 31, 32, 33, 34, 35, 50, 51, 52"
+        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -41,6 +41,10 @@
         /// From an entry: asks for load reports on this call; from an agent: one report.
         #[prost(message, tag = "19")]
         Load(super::Load),
+        #[prost(message, tag = "20")]
+        Go(super::Go),
+        #[prost(message, tag = "21")]
+        Held(super::Held),
         #[prost(message, tag = "30")]
         Sync(super::Sync),
         #[prost(message, tag = "31")]
@@ -128,6 +132,42 @@
     /// Key of the booking's claim.
     #[prost(string, tag = "19")]
     pub claim_key: ::prost::alloc::string::String,
+    /// Place of this part of a prompt that a group of engines shares, from 1; 0 for a whole one.
+    #[prost(uint32, tag = "20")]
+    pub segment: u32,
+    /// Number of parts.
+    #[prost(uint32, tag = "21")]
+    pub segments: u32,
+}
+/// KV memory that an engine holds for others to attend to.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KvSource {
+    #[prost(string, tag = "1")]
+    pub engine: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+/// Lets a segment be read, after those whose memory it builds on.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Go {
+    #[prost(string, tag = "1")]
+    pub request: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    #[prost(message, repeated, tag = "3")]
+    pub sources: ::prost::alloc::vec::Vec<KvSource>,
+}
+/// A segment's memory is reserved, or, with a source, its prompt was read and is held.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Held {
+    #[prost(string, tag = "1")]
+    pub request: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    #[prost(message, optional, tag = "3")]
+    pub source: ::core::option::Option<KvSource>,
 }
 /// Part of the body of a dispatch.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
