--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -18,13 +18,11 @@
 use super::settle::Settler;
 use super::slot::Slot;
 use super::sweep;
-use crate::control_client::ControlClient;
 use crate::event;
 use crate::http;
-use crate::node::{Node, NodeParts};
+use crate::node::Node;
 use crate::process::{self, EndSignals, RunError};
 use crate::settings::AgentSettings;
-use crate::wire::link::LinkConfig;
 use crate::wire::server;
 
 /// Time for last answers and records after a drain.
@@ -40,21 +38,8 @@
     let (listener, addr) = process::bind(settings.listen).await?;
     let (admin_listener, admin_addr) = process::bind(common.admin_listen).await?;
     let cx = CancellationToken::new();
-    let link = LinkConfig {
-        node: common.node.to_string(),
-        role: "agent".into(),
-        max_frame: common.max_frame,
-        ..LinkConfig::default()
-    };
-    let control = ControlClient::new(settings.control.clone(), link.clone(), cx.clone());
-    let node = Arc::new(Node::new(NodeParts {
-        name: common.node.clone(),
-        role: "agent",
-        zone: common.zone.clone(),
-        address: settings.advertise.unwrap_or(addr).to_string(),
-        control: Arc::new(control),
-        log: log.clone(),
-    }));
+    let address = settings.advertise.unwrap_or(addr).to_string();
+    let (node, link) = Node::start(&common, "agent", address, &settings.control, &log, &cx);
     let slots = build_slots(&settings);
     for slot in slots.values() {
         tokio::spawn(sweep::run_sweep(Arc::clone(&node), Arc::clone(slot), cx.clone()));
--- a/src/config/fleet_config.rs
+++ b/src/config/fleet_config.rs
@@ -7,9 +7,10 @@
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 
+use super::inventory::Inventory;
 use super::model::{FleetLimits, Model, Schedule, Server, Service, Workspace};
 use super::rules::{Rules, hash_key};
-use crate::findings::{Findings, Place};
+use crate::findings::Findings;
 use crate::ids::{EndpointName, ModelName, Version, WorkspaceName};
 use crate::wire::ConfigRecord;
 
@@ -127,12 +128,12 @@
 }
 
 /// Reports what an inventory and rules need from each other.
-pub fn check_together(servers: &[Server], rules: &Rules, findings: &mut Findings) {
+pub fn check_together(inventory: &Inventory, rules: &Rules, findings: &mut Findings) {
+    let servers = &inventory.servers;
     let models: BTreeSet<&SmolStr> = rules.models.iter().map(|m| &m.name).collect();
     let services: BTreeSet<&SmolStr> = rules.services.iter().map(|s| &s.name).collect();
     let names: BTreeSet<&SmolStr> = servers.iter().map(|s| &s.name).collect();
-    for server in servers {
-        let place = Place::Whole(format!("server {:?}", server.name));
+    for (server, place) in servers.iter().zip(&inventory.places) {
         for model in server.models.iter().filter(|m| !models.contains(m)) {
             let text = format!("unknown model {model:?}; add [[model]] to the rules");
             findings.add(place.clone(), text);
@@ -142,7 +143,7 @@
             findings.add(place.clone(), text);
         }
     }
-    check_regions(servers, findings);
+    check_regions(inventory, findings);
     for (schedule, place) in rules.schedules.iter().zip(&rules.schedule_places) {
         for model in schedule.models.iter().filter(|m| !models.contains(m)) {
             findings.add(place.clone(), format!("unknown model {model:?}"));
@@ -154,11 +155,10 @@
 }
 
 /// A zone lies in one region, and a host in one zone.
-fn check_regions(servers: &[Server], findings: &mut Findings) {
+fn check_regions(inventory: &Inventory, findings: &mut Findings) {
     let mut regions: BTreeMap<&SmolStr, &SmolStr> = BTreeMap::new();
     let mut zones: BTreeMap<&SmolStr, &SmolStr> = BTreeMap::new();
-    for server in servers {
-        let place = Place::Whole(format!("server {:?}", server.name));
+    for (server, place) in inventory.servers.iter().zip(&inventory.places) {
         let region = regions.entry(&server.zone).or_insert(&server.region);
         if **region != server.region {
             let text = format!("zone {:?} lies in region {region:?} elsewhere", server.zone);
@@ -167,7 +167,7 @@
         let zone = zones.entry(&server.host).or_insert(&server.zone);
         if **zone != server.zone {
             let text = format!("host {:?} lies in zone {zone:?} elsewhere", server.host);
-            findings.add(place, text);
+            findings.add(place.clone(), text);
         }
     }
 }
--- a/src/config/inventory.rs
+++ b/src/config/inventory.rs
@@ -9,8 +9,17 @@
 use super::{csv_file, toml_file};
 use crate::findings::{Findings, Place};
 
+/// An inventory as a file gives it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Inventory {
+    /// Servers.
+    pub servers: Vec<Server>,
+    /// Places of the servers, for checks across files.
+    pub places: Vec<Place>,
+}
+
 /// Reads an inventory in TOML, or in CSV when the path ends so.
-pub fn read(path: &str, text: &str, findings: &mut Findings) -> Vec<Server> {
+pub fn read(path: &str, text: &str, findings: &mut Findings) -> Inventory {
     let records = if path.to_ascii_lowercase().ends_with(".csv") {
         csv_file::read(path, text, findings)
     } else {
@@ -20,16 +29,18 @@
         servers
     };
     let mut seen: BTreeMap<SmolStr, Place> = BTreeMap::new();
-    let mut servers = Vec::new();
+    let mut inventory = Inventory::default();
     for fields in records {
         let place = fields.place_of("name");
         let server = read_server(fields, findings);
         if let Some(first) = seen.insert(server.name.clone(), place.clone()) {
-            findings.add(place, format!("server {:?} stands already at {first}", server.name));
+            let text = format!("server {:?} stands already at {first}", server.name);
+            findings.add(place.clone(), text);
         }
-        servers.push(server);
+        inventory.servers.push(server);
+        inventory.places.push(place);
     }
-    servers
+    inventory
 }
 
 fn read_server(mut fields: Fields, findings: &mut Findings) -> Server {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -43,10 +43,10 @@
     rules: &NamedText,
 ) -> Result<(Vec<Server>, Rules), Findings> {
     let mut findings = Findings::default();
-    let servers = inventory::read(&inventory.path, &inventory.text, &mut findings);
+    let inventory = inventory::read(&inventory.path, &inventory.text, &mut findings);
     let rules = rules::read(&rules.path, &rules.text, &mut findings);
     if findings.is_empty() {
-        fleet_config::check_together(&servers, &rules, &mut findings);
+        fleet_config::check_together(&inventory, &rules, &mut findings);
     }
-    findings.into_result((servers, rules))
+    findings.into_result((inventory.servers, rules))
 }
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -13,7 +13,6 @@
 use viz::header::HeaderValue;
 use viz::{Body, Request, RequestExt, Response, Router, StatusCode};
 
-use super::booking::{self, Claimed};
 use super::burn_meter::BurnMeter;
 use super::driver::{Driver, Progress};
 use super::failure::{Failure, Outcome};
@@ -22,18 +21,15 @@
 use super::prefix::PrefixChain;
 use super::prompt_class::PromptClass;
 use super::request::{Job, Work};
+use super::service_calls::call_service;
 use crate::control::core::wall_ms;
 use crate::event;
 use crate::http::{build, json, read_body};
 use crate::metrics::{ClassLabels, ReasonLabels, RequestLabels};
-use crate::wire::Settle;
 
 /// Header that tells how a request ended.
 pub const OUTCOME_HEADER: &str = "bitternlead-outcome";
 
-/// Header that names the idempotency key of a call.
-pub const KEY_HEADER: &str = "idempotency-key";
-
 /// Settings of the callers' interface.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallersConfig {
@@ -66,10 +62,10 @@
 }
 
 /// A request that is counted until it ends.
-struct Ticket {
-    callers: Arc<Callers>,
-    id: SmolStr,
-    started: Instant,
+pub(super) struct Ticket {
+    pub(super) callers: Arc<Callers>,
+    pub(super) id: SmolStr,
+    pub(super) started: Instant,
 }
 
 /// Builds the routes.
@@ -96,13 +92,13 @@
 }
 
 impl Ticket {
-    fn new(callers: &Arc<Callers>) -> Self {
+    pub(super) fn new(callers: &Arc<Callers>) -> Self {
         let id = format_smolstr!("req-{:016x}{:04x}", rand::random::<u64>(), wall_ms() as u16);
         callers.driver.node.metrics.in_flight.inc();
         Self { callers: Arc::clone(callers), id, started: Instant::now() }
     }
 
-    fn state(&self, req: &Request) -> RequestState {
+    pub(super) fn state(&self, req: &Request) -> RequestState {
         let bearer: Option<String> = req.header("authorization");
         let driver = &self.callers.driver;
         RequestState {
@@ -117,14 +113,14 @@
         }
     }
 
-    async fn read(&self, req: &mut Request) -> Result<Bytes, Failure> {
+    pub(super) async fn read(&self, req: &mut Request) -> Result<Bytes, Failure> {
         let cfg = &self.callers.cfg;
         read_body(req, cfg.max_body, cfg.body_limit)
             .await
             .map_err(|e| Failure::not_run(e.status(), "bad_body", e.to_string()))
     }
 
-    fn mark(&self, response: &mut Response, outcome: Outcome) {
+    pub(super) fn mark(&self, response: &mut Response, outcome: Outcome) {
         let headers = response.headers_mut();
         headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome.name()));
         if let Ok(id) = HeaderValue::from_str(&self.id) {
@@ -132,7 +128,7 @@
         }
     }
 
-    fn fail(&self, failure: &Failure) -> Response {
+    pub(super) fn fail(&self, failure: &Failure) -> Response {
         let driver = &self.callers.driver;
         let reason = failure.code.to_owned();
         driver.node.metrics.refusals.get_or_create(&ReasonLabels { reason }).inc();
@@ -148,7 +144,7 @@
     }
 
     /// Counts the end of a request that passed the filters.
-    fn count(&self, job: &JobFacts, outcome: &str, first_token: Option<Duration>) {
+    pub(super) fn count(&self, job: &JobFacts, outcome: &str, first_token: Option<Duration>) {
         let metrics = &self.callers.driver.node.metrics;
         let class = PromptClass::of(job.prompt_tokens).name().to_owned();
         let outcome = outcome.to_owned();
@@ -168,9 +164,9 @@
 }
 
 /// What is needed of a job after it was handed to the driver.
-struct JobFacts {
-    workspace: Arc<crate::config::Workspace>,
-    prompt_tokens: u64,
+pub(super) struct JobFacts {
+    pub(super) workspace: Arc<crate::config::Workspace>,
+    pub(super) prompt_tokens: u64,
 }
 
 async fn complete(callers: Arc<Callers>, mut req: Request, chat: bool) -> viz::Result<Response> {
@@ -209,7 +205,7 @@
     Ok((parsed, job))
 }
 
-fn build_job(
+pub(super) fn build_job(
     ticket: &Ticket,
     state: &mut RequestState,
     work: Work,
@@ -266,7 +262,7 @@
     ticket.fail(&broken())
 }
 
-fn broken() -> Failure {
+pub(super) fn broken() -> Failure {
     let text = "the request ended without its final answer";
     Failure::unknown(StatusCode::INTERNAL_SERVER_ERROR, "internal", text)
 }
@@ -355,119 +351,3 @@
     ticket.mark(&mut response, Outcome::Done);
     Ok(response)
 }
-
-async fn call_service(callers: Arc<Callers>, mut req: Request) -> viz::Result<Response> {
-    let ticket = Ticket::new(&callers);
-    let mut state = ticket.state(&req);
-    let job = match prepare_service(&ticket, &mut req, &mut state).await {
-        Ok(job) => job,
-        Err(failure) => return Ok(ticket.fail(&failure)),
-    };
-    // A booking goes on to its recorded end even if its caller leaves.
-    let finished = tokio::spawn(run_service(ticket, job));
-    match finished.await {
-        Ok(response) => Ok(response),
-        Err(_) => Ok(json(StatusCode::INTERNAL_SERVER_ERROR, &json!({ "error": "internal" }))),
-    }
-}
-
-async fn run_service(ticket: Ticket, job: Job) -> Response {
-    let callers = Arc::clone(&ticket.callers);
-    let node = Arc::clone(&callers.driver.node);
-    let facts = JobFacts { workspace: job.workspace.clone(), prompt_tokens: 0 };
-    if job.is_idempotent() {
-        let rx = callers.driver.start(job, 0, callers.cx.clone());
-        return service_answer(&ticket, &facts, rx).await.unwrap_or_else(|f| ticket.fail(&f));
-    }
-    let claim = match booking::claim(&node, &job).await {
-        Claimed::Granted(claim) => claim,
-        Claimed::Answered(settled) => return replay(&ticket, settled),
-        Claimed::Failed(failure) => return ticket.fail(&failure),
-    };
-    let releasing = booking::Release::of(&job, claim);
-    let rx = callers.driver.start(job, claim, callers.cx.clone());
-    match service_answer(&ticket, &facts, rx).await {
-        Ok(response) => response,
-        Err(failure) => {
-            if failure.outcome == Outcome::NotRun {
-                releasing.spawn(&node);
-            } else {
-                event!(node.log, OutcomeUnknown, "request" => ticket.id.as_str());
-            }
-            ticket.fail(&failure)
-        }
-    }
-}
-
-async fn prepare_service(
-    ticket: &Ticket,
-    req: &mut Request,
-    state: &mut RequestState,
-) -> Result<Job, Failure> {
-    filter::run(&ticket.callers.head, state)?;
-    let rest = req.uri().path().strip_prefix("/services/").unwrap_or_default().to_owned();
-    let (name, path) = match rest.split_once('/') {
-        Some((name, path)) => (name.to_owned(), format!("/{path}")),
-        None => (rest, "/".to_owned()),
-    };
-    let body = ticket.read(req).await?;
-    state.target = format_smolstr!("service:{name}");
-    filter::run(&ticket.callers.body, state)?;
-    let method = req.method().as_str().to_owned();
-    let idempotent = state.node.config().is_idempotent(&name, &method, &path);
-    let given: Option<String> = req.header(KEY_HEADER);
-    let key = match given {
-        Some(key) if key.is_empty() || key.len() > 255 => {
-            let text = "Idempotency-Key has to have 1 to 255 bytes";
-            return Err(Failure::not_run(StatusCode::BAD_REQUEST, "bad_key", text));
-        }
-        Some(key) => key,
-        None => ticket.id.to_string(),
-    };
-    let path = match req.uri().query() {
-        Some(query) => format!("{path}?{query}"),
-        None => path,
-    };
-    let content_type = req.header("content-type").unwrap_or_default();
-    let work = Work::Service { method, path, content_type, body, key, idempotent };
-    build_job(ticket, state, work, 0, PrefixChain::default())
-}
-
-async fn service_answer(
-    ticket: &Ticket,
-    facts: &JobFacts,
-    mut rx: mpsc::Receiver<Progress>,
-) -> Result<Response, Failure> {
-    let mut head = (502, String::new());
-    let mut body = Vec::new();
-    while let Some(progress) = rx.recv().await {
-        match progress {
-            Progress::Head { status, content_type } => head = (status, content_type),
-            Progress::Data(data) => body.extend_from_slice(&data),
-            Progress::Done { .. } => {
-                ticket.count(facts, "done", Some(ticket.started.elapsed()));
-                return Ok(answer(ticket, head.0, &head.1, body));
-            }
-            Progress::Failed(failure) => {
-                ticket.count(facts, failure.outcome.name(), None);
-                return Err(failure);
-            }
-        }
-    }
-    Err(broken())
-}
-
-fn answer(ticket: &Ticket, status: u16, content_type: &str, body: impl Into<Bytes>) -> Response {
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = build(status, content_type, body);
-    ticket.mark(&mut response, Outcome::Done);
-    response
-}
-
-/// The recorded answer of an earlier call with the same key.
-fn replay(ticket: &Ticket, settled: Settle) -> Response {
-    let status = u16::try_from(settled.status).unwrap_or(502);
-    let mut response = answer(ticket, status, &settled.content_type, settled.body);
-    response.headers_mut().insert("bitternlead-replayed", HeaderValue::from_static("true"));
-    response
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,3 +20,4 @@
 pub mod retry;
 pub mod router;
 pub mod run;
+pub mod service_calls;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -14,10 +14,9 @@
 use super::fleet_view::FleetView;
 use super::limits::Limits;
 use super::links::Links;
-use crate::control_client::ControlClient;
 use crate::event;
 use crate::http;
-use crate::node::{Node, NodeParts, SyncRole};
+use crate::node::{Node, SyncRole};
 use crate::process::{self, EndSignals, RunError};
 use crate::settings::EntrySettings;
 use crate::wire::link::LinkConfig;
@@ -59,21 +58,7 @@
     let (callers_listener, callers_addr) = process::bind(settings.listen).await?;
     let (admin_listener, admin_addr) = process::bind(common.admin_listen).await?;
     let cx = CancellationToken::new();
-    let link = LinkConfig {
-        node: common.node.to_string(),
-        role: "entry".into(),
-        max_frame: common.max_frame,
-        ..LinkConfig::default()
-    };
-    let control = ControlClient::new(settings.control.clone(), link.clone(), cx.clone());
-    let node = Arc::new(Node::new(NodeParts {
-        name: common.node.clone(),
-        role: "entry",
-        zone: common.zone.clone(),
-        address: String::new(),
-        control: Arc::new(control),
-        log: log.clone(),
-    }));
+    let (node, link) = Node::start(&common, "entry", String::new(), &settings.control, &log, &cx);
     let view = Arc::new(FleetView::new(xxh3_64(common.node.as_bytes())));
     let burn = Arc::new(BurnMeter::default());
     let callers = build_callers(&settings, &node, &view, &burn, link, &cx);
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,5 +1,6 @@
 //! A node's link to control: it announces itself, renews its lease and takes news.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,7 +17,9 @@
 use crate::http::Readiness;
 use crate::ids::{Incarnation, Moment};
 use crate::metrics::Metrics;
+use crate::settings::CommonSettings;
 use crate::wire::envelope::Body;
+use crate::wire::link::LinkConfig;
 use crate::wire::{Sync, SyncReply};
 
 /// Longest wait for news, and so the interval between renewals of the lease.
@@ -66,40 +69,38 @@
     start: Instant,
 }
 
-/// Settings of a node.
-pub struct NodeParts {
-    /// Name.
-    pub name: SmolStr,
-    /// entry or agent.
-    pub role: &'static str,
-    /// Availability zone.
-    pub zone: SmolStr,
-    /// Address for the system's own processes.
-    pub address: String,
-    /// Calls to control.
-    pub control: Arc<ControlClient>,
-    /// Logger.
-    pub log: Logger,
-}
-
 impl Node {
-    /// Builds a node that has just started.
-    pub fn new(parts: NodeParts) -> Self {
-        let NodeParts { name, role, zone, address, control, log } = parts;
-        Self {
-            name,
+    /// Builds a node that has just started, with the settings of its links.
+    pub fn start(
+        common: &CommonSettings,
+        role: &'static str,
+        address: String,
+        control: &[SocketAddr],
+        log: &Logger,
+        cx: &CancellationToken,
+    ) -> (Arc<Self>, LinkConfig) {
+        let link = LinkConfig {
+            node: common.node.to_string(),
+            role: role.into(),
+            max_frame: common.max_frame,
+            ..LinkConfig::default()
+        };
+        let control = ControlClient::new(control.to_vec(), link.clone(), cx.clone());
+        let node = Self {
+            name: common.node.clone(),
             role,
-            zone,
+            zone: common.zone.clone(),
             address,
             incarnation: new_incarnation(),
-            control,
+            control: Arc::new(control),
             readiness: Readiness::default(),
             metrics: Arc::new(Metrics::default()),
-            log,
+            log: log.clone(),
             draining: CancellationToken::new(),
             lease: Mutex::default(),
             start: Instant::now(),
-        }
+        };
+        (Arc::new(node), link)
     }
 
     /// Time since the start of this process.
