Keep an entry unready while it drains; give large write buffers back

Cause: the lease check, ten times a second, set readiness from the drain alone, which begins half a second after the signal; a balancer saw the entry ready again. Found by reading; the new test was red before (ready again while it drains) and is green after. Also: each link kept the buffer of the largest frame that it ever sent.

--- a/examples/slopes/main.rs
+++ b/examples/slopes/main.rs
@@ -3,6 +3,7 @@
 #[path = "../support/child.rs"]
 mod child;
 mod nodes;
+mod streams;
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -98,6 +99,59 @@
         Ok(control)
     }
 
+    fn addresses(&self) -> Result<String, String> {
+        let mut all = Vec::new();
+        for replica in &self.replicas {
+            all.push(replica.address("control")?.to_string());
+        }
+        Ok(all.join(","))
+    }
+
+    fn start_entry(&self) -> Result<Process, String> {
+        let control = self.addresses()?;
+        Process::start(
+            "bitternlead",
+            &[
+                "entry",
+                "--node",
+                "real-entry",
+                "--zone",
+                "zone-0",
+                "--control",
+                &control,
+                "--listen",
+                "127.0.0.1:0",
+                "--log-level",
+                "error",
+            ],
+        )
+    }
+
+    /// An agent of the first engines of a stand-in.
+    fn start_agent(&self, stand_in: &Process, engines: usize) -> Result<Process, String> {
+        let control = self.addresses()?;
+        let mut endpoints = Vec::new();
+        for n in 0..engines {
+            endpoints.push(format!("e{n}={}", stand_in.address(&format!("engine-{n}"))?));
+        }
+        Process::start(
+            "bitternlead",
+            &[
+                "agent",
+                "--node",
+                "real-agent",
+                "--zone",
+                "zone-0",
+                "--control",
+                &control,
+                "--endpoints",
+                &endpoints.join(","),
+                "--log-level",
+                "error",
+            ],
+        )
+    }
+
     fn write_config(&self, more: &str) -> Result<(), String> {
         let mut inventory = String::from("name,host,zone,region,models\n");
         for n in 0..600 {
@@ -164,7 +218,9 @@
         addresses.push(replica.address("control")?);
     }
     let nodes = nodes::start(size, addresses);
+    let entry = control.start_entry()?;
     tokio::time::sleep(WARM_UP).await;
+    let entry_before = cpu_seconds(entry.id());
     let ids = control.ids_leader_first()?;
     let traffic =
         |t: &nodes::Traffic| [&t.calls, &t.up, &t.down].map(|c| c.load(Ordering::Relaxed) as f64);
@@ -191,6 +247,9 @@
     let up_down = |now, then| rate(now, then, 1) + rate(now, then, 2);
     set("one entry, KB/s", up_down(entries_now, entries) / count_entries / 1024.0);
     set("one agent, KB/s", up_down(agents_now, agents) / count_agents / 1024.0);
+    let entry_cpu = (cpu_seconds(entry.id()) - entry_before) / seconds * 100.0;
+    set("a real entry, % of a core", entry_cpu);
+    set("a real entry, MB", memory_mb(entry.id()));
     let in_force = change_in_force(&control, &nodes, size).await?;
     point.values.insert("change in force on all nodes, ms", in_force);
     Ok(point)
@@ -217,6 +276,67 @@
     }
 }
 
+/// An agent beside idle engines.
+async fn measure_agent(engines: usize) -> Result<Point, String> {
+    let control = Control::start()?;
+    let count = engines.to_string();
+    let stand_in = Process::start("stand_in", &["--engines", &count, "--models", "model-0"])?;
+    let agent = control.start_agent(&stand_in, engines)?;
+    tokio::time::sleep(WARM_UP).await;
+    let before = cpu_seconds(agent.id());
+    tokio::time::sleep(MEASURE).await;
+    let cpu = (cpu_seconds(agent.id()) - before) / MEASURE.as_secs_f64() * 100.0;
+    let mut point = Point { size: engines as f64, ..Point::default() };
+    point.values.insert("agent, % of a core", cpu);
+    point.values.insert("agent, MB", memory_mb(agent.id()));
+    Ok(point)
+}
+
+/// Tokens of the prompt of each open request.
+const OPEN_PROMPT: usize = 2_000;
+
+/// Memory and processor time of an entry and an agent with open streams.
+async fn measure_streams(streams: usize) -> Result<Point, String> {
+    let control = Control::start()?;
+    let stand_in = Process::start(
+        "stand_in",
+        &[
+            "--engines",
+            "1",
+            "--models",
+            "model-0",
+            "--kv-tokens",
+            "10000000",
+            "--prefill-rate",
+            "100000000",
+        ],
+    )?;
+    let agent = control.start_agent(&stand_in, 1)?;
+    let entry = control.start_entry()?;
+    tokio::time::sleep(WARM_UP).await;
+    let idle = [memory_mb(entry.id()), memory_mb(agent.id())];
+    let addr = entry.address("callers")?;
+    let client: streams::Http = streams::build_client();
+    let open: Vec<_> = (0..streams)
+        .map(|n| tokio::spawn(streams::open(client.clone(), addr, n, OPEN_PROMPT)))
+        .collect();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = [cpu_seconds(entry.id()), cpu_seconds(agent.id())];
+    let tokens = streams::tokens();
+    tokio::time::sleep(MEASURE).await;
+    let seconds = MEASURE.as_secs_f64();
+    let rate = (streams::tokens() - tokens) as f64 / seconds;
+    let cpu = |id: u32, at: usize| (cpu_seconds(id) - before[at]) / seconds * 100.0;
+    let mut point = Point { size: streams as f64, ..Point::default() };
+    point.values.insert("tokens a second", rate);
+    point.values.insert("entry, % of a core", cpu(entry.id(), 0));
+    point.values.insert("agent, % of a core", cpu(agent.id(), 1));
+    point.values.insert("entry, MB over idle", memory_mb(entry.id()) - idle[0]);
+    point.values.insert("agent, MB over idle", memory_mb(agent.id()) - idle[1]);
+    open.into_iter().for_each(|task| task.abort());
+    Ok(point)
+}
+
 /// Memory and snapshot bytes of claims, in this process.
 fn measure_claims(size: usize) -> Point {
     let before = memory_mb(std::process::id());
@@ -295,5 +415,15 @@
         points.push(measure_nodes(size).await?);
     }
     print_fits("control, by number of nodes (600 servers, 2,200 workspaces)", &points, 340.0);
+    let mut points = Vec::new();
+    for engines in [1, 2, 4, 8] {
+        points.push(measure_agent(engines).await?);
+    }
+    print_fits("an idle agent, by number of its engines", &points, 2.0);
+    let mut points = Vec::new();
+    for streams in [50, 100, 200] {
+        points.push(measure_streams(streams).await?);
+    }
+    print_fits("open streams through one entry and one agent", &points, 200.0);
     Ok(())
 }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -80,6 +80,7 @@
     event!(log, ProcessStarted, "callers" => callers_addr.to_string());
     process::print_ready(&[("callers", callers_addr), ("admin", admin_addr)]);
     signals.next().await;
+    node.leaving.cancel();
     node.readiness.set(false);
     tokio::time::sleep(UNREADY_PAUSE).await;
     node.draining.cancel();
--- a/src/node.rs
+++ b/src/node.rs
@@ -63,7 +63,9 @@
     pub metrics: Arc<Metrics>,
     /// Logger.
     pub log: Logger,
-    /// Cancelled once a drain begins.
+    /// Cancelled once this node is told to end: it is unready from then on.
+    pub leaving: CancellationToken,
+    /// Cancelled once it takes no new work any more.
     pub draining: CancellationToken,
     lease: Mutex<ConfigLease>,
     start: Instant,
@@ -96,6 +98,7 @@
             readiness: Readiness::default(),
             metrics: Arc::new(Metrics::default()),
             log: log.clone(),
+            leaving: CancellationToken::new(),
             draining: CancellationToken::new(),
             lease: Mutex::default(),
             start: Instant::now(),
@@ -158,7 +161,7 @@
             address: self.address.clone(),
             config_version: self.lease.lock().version(),
             hold_ms: hold.as_millis() as u64,
-            leaving: self.draining.is_cancelled(),
+            leaving: self.leaving.is_cancelled(),
             ..Sync::default()
         };
         role.fill(&mut sync);
@@ -184,7 +187,7 @@
             self.log_lease(event);
         }
         self.metrics.lease.set(held as i64);
-        self.readiness.set(held && !self.draining.is_cancelled());
+        self.readiness.set(held && !self.leaving.is_cancelled());
     }
 
     fn log_lease(&self, event: LeaseEvent) {
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -6,14 +6,16 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use futures::stream::{SplitSink, SplitStream};
+use bytes::BytesMut;
 use futures::{SinkExt, StreamExt};
 use parking_lot::Mutex;
 use snafu::Snafu;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Encoder, Framed, FramedRead};
 use tokio_util::sync::CancellationToken;
 
 use super::envelope::Body;
@@ -79,6 +81,8 @@
     },
 }
 
+pub(super) type FrameReader = FramedRead<OwnedReadHalf, EnvelopeCodec>;
+
 type Calls = Arc<Mutex<HashMap<u64, mpsc::UnboundedSender<Body>>>>;
 
 /// A connection that carries many calls.
@@ -124,10 +128,11 @@
         cfg: &LinkConfig,
         cx: CancellationToken,
     ) -> Self {
-        let (sink, stream) = framed.split();
+        let (stream, write) = split(framed);
         let (tx, rx) = mpsc::channel(SEND_QUEUE);
         let calls = Calls::default();
-        tokio::spawn(write_frames(sink, rx, cfg.keepalive, cx.clone()));
+        let codec = EnvelopeCodec::new(cfg.max_frame);
+        tokio::spawn(write_frames(write, codec, rx, cfg.keepalive, cx.clone()));
         tokio::spawn(read_replies(stream, Arc::clone(&calls), cfg.silence, cx.clone()));
         Self { tx, calls, next: Arc::new(AtomicU64::new(1)), cx }
     }
@@ -231,13 +236,27 @@
     }
 }
 
-/// Writes queued frames, flushing when the queue is empty, and keepalives in between.
+/// Capacity above which a write buffer is given back after use, in bytes.
+const KEPT_BUFFER: usize = 64 * 1024;
+
+/// Splits a greeted connection into its halves; bytes read so far stay with the reader.
+pub(super) fn split(framed: Framed<TcpStream, EnvelopeCodec>) -> (FrameReader, OwnedWriteHalf) {
+    let parts = framed.into_parts();
+    let (read, write) = parts.io.into_split();
+    let mut reader = FramedRead::new(read, parts.codec);
+    reader.read_buffer_mut().extend_from_slice(&parts.read_buf);
+    (reader, write)
+}
+
+/// Writes queued frames together, and keepalives in between.
 pub(super) async fn write_frames(
-    mut sink: SplitSink<Framed<TcpStream, EnvelopeCodec>, Envelope>,
+    mut write: OwnedWriteHalf,
+    mut codec: EnvelopeCodec,
     mut rx: mpsc::Receiver<Envelope>,
     keepalive: Duration,
     cx: CancellationToken,
 ) {
+    let mut buf = BytesMut::new();
     loop {
         let frame = tokio::select! {
             () = cx.cancelled() => break,
@@ -247,36 +266,40 @@
             }
         };
         let Some(frame) = frame else { break };
-        if feed_frames(&mut sink, frame, &mut rx).await.is_err() {
+        let mut next = Some(frame);
+        while let Some(frame) = next {
+            if put_frame(&mut codec, frame, &mut buf).is_err() {
+                cx.cancel();
+            }
+            next = if buf.len() < KEPT_BUFFER { rx.try_recv().ok() } else { None };
+        }
+        let written = tokio::select! {
+            () = cx.cancelled() => break,
+            written = write.write_all_buf(&mut buf) => written,
+        };
+        if written.is_err() {
             break;
         }
+        // A large frame, like a whole configuration, must not keep its memory for each link.
+        if buf.capacity() > KEPT_BUFFER {
+            buf = BytesMut::new();
+        }
     }
     cx.cancel();
-    let _ = timeout(keepalive, sink.close()).await;
-}
-
-async fn feed_frames(
-    sink: &mut SplitSink<Framed<TcpStream, EnvelopeCodec>, Envelope>,
-    first: Envelope,
-    rx: &mut mpsc::Receiver<Envelope>,
-) -> Result<(), FrameError> {
-    feed_one(sink, first).await?;
-    while let Ok(frame) = rx.try_recv() {
-        feed_one(sink, frame).await?;
-    }
-    sink.flush().await
+    let _ = timeout(keepalive, write.shutdown()).await;
 }
 
-async fn feed_one(
-    sink: &mut SplitSink<Framed<TcpStream, EnvelopeCodec>, Envelope>,
+fn put_frame(
+    codec: &mut EnvelopeCodec,
     frame: Envelope,
+    buf: &mut BytesMut,
 ) -> Result<(), FrameError> {
     match faults::reach("wire.send") {
         Some(Fault::Drop) => return Ok(()),
-        Some(Fault::Twice) => sink.feed(frame.clone()).await?,
+        Some(Fault::Twice) => codec.encode(frame.clone(), buf)?,
         _ => {}
     }
-    sink.feed(frame).await
+    codec.encode(frame, buf)
 }
 
 /// Whether a test has cut this direction of all links.
@@ -286,7 +309,7 @@
 
 /// Next frame, or `None` after an error, the end, or too long a silence.
 pub(super) async fn next_frame(
-    stream: &mut SplitStream<Framed<TcpStream, EnvelopeCodec>>,
+    stream: &mut FrameReader,
     silence: Duration,
 ) -> Option<Result<Envelope, FrameError>> {
     let due = Instant::now() + silence;
@@ -299,7 +322,7 @@
 }
 
 async fn read_replies(
-    mut stream: SplitStream<Framed<TcpStream, EnvelopeCodec>>,
+    mut stream: FrameReader,
     calls: Calls,
     silence: Duration,
     cx: CancellationToken,
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -13,7 +13,7 @@
 
 use super::envelope::Body;
 use super::frame::{EnvelopeCodec, PROTOCOL_VERSION};
-use super::link::{LinkConfig, is_cut, next_frame, write_frames};
+use super::link::{LinkConfig, is_cut, next_frame, split, write_frames};
 use super::{Envelope, Fault, Hello};
 use crate::event;
 
@@ -105,9 +105,10 @@
             return;
         }
     };
-    let (sink, mut stream) = framed.split();
+    let (mut stream, write) = split(framed);
     let (tx, rx) = mpsc::channel(SEND_QUEUE);
-    tokio::spawn(write_frames(sink, rx, cfg.keepalive, cx.clone()));
+    let codec = EnvelopeCodec::new(cfg.max_frame);
+    tokio::spawn(write_frames(write, codec, rx, cfg.keepalive, cx.clone()));
     let conn = Conn { id, node: hello.node.into(), cx: cx.clone(), tx };
     loop {
         let frame = tokio::select! {
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -293,6 +293,25 @@
     assert_eq!(env.entries[0].wait_end(), Some(0));
 }
 
+#[test]
+fn an_entry_that_is_told_to_stop_is_unready_first_and_stays_so() {
+    let env = TestEnv::start(Shape { deadline_ms: 20_000, ..Shape::default() });
+    let addr = env.entries[0].address("admin");
+    let seen: Vec<u16> = std::thread::scope(|scope| {
+        let asked = scope.spawn(|| env.complete(0, "a long answer", 150, true));
+        std::thread::sleep(Duration::from_millis(300));
+        env.entries[0].signal(nix::sys::signal::Signal::SIGTERM);
+        env.wait("unready", |env| env.get(addr, "/readyz").status == 503);
+        let mut seen = Vec::new();
+        while !asked.is_finished() {
+            seen.push(env.get(addr, "/readyz").status);
+        }
+        seen
+    });
+    assert!(seen.len() > 10, "looked while the request ended");
+    assert!(!seen.contains(&200), "ready again while it drains");
+}
+
 #[test]
 fn an_old_agent_that_thaws_after_its_replacement_started_is_fenced() {
     let env = TestEnv::start(Shape { agents: 1, ..Shape::default() });
