--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::{Moment, Tokens, WorkspaceName};
+use crate::plain;
 
 /// Settings of an admission queue.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,19 +23,20 @@
     }
 }
 
-/// An attempt that asks for memory.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Ask {
-    /// Workspace.
-    pub workspace: WorkspaceName,
-    /// Weight of the workspace.
-    pub weight: u64,
-    /// Priority level; lower is sooner.
-    pub priority: u32,
-    /// Memory that it needs.
-    pub tokens: Tokens,
-    /// Moment after which it is given up on.
-    pub deadline: Moment,
+plain! {
+    /// An attempt that asks for memory.
+    pub struct Ask {
+        /// Workspace.
+        pub workspace: WorkspaceName,
+        /// Weight of the workspace.
+        pub weight: u64,
+        /// Priority level; lower is sooner.
+        pub priority: u32,
+        /// Memory that it needs.
+        pub tokens: Tokens,
+        /// Moment after which it is given up on.
+        pub deadline: Moment,
+    }
 }
 
 /// Number of a waiting attempt.
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::ids::{Incarnation, Moment, Term, Version, ZoneName};
+use crate::plain;
 use crate::wire::{EndpointReport, Member, Sync};
 
 /// Timing of the roster.
@@ -26,21 +27,22 @@
 /// Removed members that are remembered for deltas.
 const MOST_GONE: usize = 2000;
 
-/// One node as the leader last heard it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct NodeState {
-    /// entry or agent.
-    pub role: SmolStr,
-    /// Availability zone.
-    pub zone: ZoneName,
-    /// Current run.
-    pub incarnation: Incarnation,
-    /// Version of the configuration in force there.
-    pub config_version: Version,
-    /// Last time that it was heard.
-    pub heard_at: Moment,
-    /// Whether it said that it is leaving.
-    pub leaving: bool,
+plain! {
+    /// One node as the leader last heard it.
+    pub struct NodeState {
+        /// entry or agent.
+        pub role: SmolStr,
+        /// Availability zone.
+        pub zone: ZoneName,
+        /// Current run.
+        pub incarnation: Incarnation,
+        /// Version of the configuration in force there.
+        pub config_version: Version,
+        /// Last time that it was heard.
+        pub heard_at: Moment,
+        /// Whether it said that it is leaving.
+        pub leaving: bool,
+    }
 }
 
 /// What became of a node's call.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -12,6 +12,7 @@
 use snafu::Snafu;
 
 use crate::ids::{Index, Tokens};
+use crate::plain;
 
 /// Why an endpoint did not serve.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -38,38 +39,40 @@
     },
 }
 
-/// A completion to generate.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Generate {
-    /// Name of the attempt at the engine.
-    pub id: String,
-    /// Body of the completion request, in JSON, streaming set.
-    pub body: Bytes,
-    /// Chat instead of plain completion.
-    pub chat: bool,
-    /// Priority level; lower is sooner.
-    pub priority: u32,
-    /// Memory of other engines that holds the prompt before this part.
-    pub sources: Vec<KvTransfer>,
+plain! {
+    /// A completion to generate.
+    pub struct Generate {
+        /// Name of the attempt at the engine.
+        pub id: String,
+        /// Body of the completion request, in JSON, streaming set.
+        pub body: Bytes,
+        /// Chat instead of plain completion.
+        pub chat: bool,
+        /// Priority level; lower is sooner.
+        pub priority: u32,
+        /// Memory of other engines that holds the prompt before this part.
+        pub sources: Vec<KvTransfer>,
+    }
 }
 
-/// Part of a generated answer.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Generated {
-    /// Text of some tokens.
-    Text {
-        /// Text.
-        text: String,
-        /// Number of tokens.
-        tokens: Tokens,
-    },
-    /// Whole end of the answer with the reason: stop or length.
-    Finished {
-        /// Reason.
-        reason: String,
-        /// Prompt tokens that the prefix cache held.
-        cached: Tokens,
-    },
+plain! {
+    /// Part of a generated answer.
+    pub enum Generated {
+        /// Text of some tokens.
+        Text {
+            /// Text.
+            text: String,
+            /// Number of tokens.
+            tokens: Tokens,
+        },
+        /// Whole end of the answer with the reason: stop or length.
+        Finished {
+            /// Reason.
+            reason: String,
+            /// Prompt tokens that the prefix cache held.
+            cached: Tokens,
+        },
+    }
 }
 
 /// Load as an engine reports it, with a lag.
--- a/src/entry/assembly.rs
+++ b/src/entry/assembly.rs
@@ -4,59 +4,62 @@
 use smol_str::SmolStr;
 
 use crate::ids::AttemptNumber;
+use crate::plain;
 use crate::wire::envelope::Body;
 use crate::wire::{Failed, KvSource, Refused};
 
-/// What a frame means for the answer.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Part {
-    /// Next part of the answer.
-    Data {
-        /// Bytes.
-        data: Bytes,
-        /// Units that they count for.
-        len: u64,
-    },
-    /// Status of a plain service's answer.
-    Head {
-        /// HTTP status.
-        status: u16,
-        /// Content type.
-        content_type: String,
-    },
-    /// Memory of a segment is reserved, or its prompt was read and is held.
-    Held(Option<KvSource>),
-    /// The answer is whole.
-    End {
-        /// stop or length.
-        finish: String,
-    },
-    /// The attempt did not run and never will.
-    Refused(Refused),
-    /// The attempt ended badly.
-    Failed(Failed),
-    /// Frames are missing; what follows cannot be used.
-    Gap,
-    /// A foreign, late or repeated frame; it is dropped.
-    Dropped,
+plain! {
+    /// What a frame means for the answer.
+    pub enum Part {
+        /// Next part of the answer.
+        Data {
+            /// Bytes.
+            data: Bytes,
+            /// Units that they count for.
+            len: u64,
+        },
+        /// Status of a plain service's answer.
+        Head {
+            /// HTTP status.
+            status: u16,
+            /// Content type.
+            content_type: String,
+        },
+        /// Memory of a segment is reserved, or its prompt was read and is held.
+        Held(Option<KvSource>),
+        /// The answer is whole.
+        End {
+            /// stop or length.
+            finish: String,
+        },
+        /// The attempt did not run and never will.
+        Refused(Refused),
+        /// The attempt ended badly.
+        Failed(Failed),
+        /// Frames are missing; what follows cannot be used.
+        Gap,
+        /// A foreign, late or repeated frame; it is dropped.
+        Dropped,
+    }
 }
 
-/// Order of one attempt's frames.
-///
-/// ```
-/// use bitternlead::entry::assembly::{Assembly, Part};
-/// use bitternlead::wire::{Chunk, envelope::Body};
-///
-/// let mut assembly = Assembly::new("r", 1);
-/// let chunk = Chunk { request: "r".into(), attempt: 1, offset: 1, len: 1, ..Chunk::default() };
-/// assert_eq!(assembly.take(Body::Chunk(chunk)), Part::Gap);
-/// ```
-#[derive(Clone, Debug, PartialEq)]
-pub struct Assembly {
-    request: SmolStr,
-    attempt: AttemptNumber,
-    next: u64,
-    over: bool,
+plain! {
+    /// Order of one attempt's frames.
+    ///
+    /// ```
+    /// use bitternlead::entry::assembly::{Assembly, Part};
+    /// use bitternlead::wire::{Chunk, envelope::Body};
+    ///
+    /// let mut assembly = Assembly::new("r", 1);
+    /// let chunk = Chunk { request: "r".into(), attempt: 1, offset: 1, len: 1, ..Chunk::default() };
+    /// assert_eq!(assembly.take(Body::Chunk(chunk)), Part::Gap);
+    /// ```
+    pub struct Assembly {
+        request: SmolStr,
+        attempt: AttemptNumber,
+        next: u64,
+        over: bool,
+    }
 }
 
 impl Assembly {
--- a/src/entry/booking.rs
+++ b/src/entry/booking.rs
@@ -14,6 +14,7 @@
 use crate::faults;
 use crate::ids::Index;
 use crate::node::Node;
+use crate::plain;
 use crate::wire::{Claim, Command, Settle, command};
 
 /// Longest wait for a quorum before a call is refused.
@@ -33,15 +34,16 @@
     format!("{target}/{key}")
 }
 
-/// What claiming came to.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Claimed {
-    /// The attempt may be made under this number.
-    Granted(Index),
-    /// The key has its answer already.
-    Answered(Settle),
-    /// The call is refused.
-    Failed(Failure),
+plain! {
+    /// What claiming came to.
+    pub enum Claimed {
+        /// The attempt may be made under this number.
+        Granted(Index),
+        /// The key has its answer already.
+        Answered(Settle),
+        /// The call is refused.
+        Failed(Failure),
+    }
 }
 
 /// Claims the key of a call, waiting for an earlier request with the same key.
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -29,6 +29,7 @@
 use crate::event;
 use crate::ids::EndpointName;
 use crate::node::Node;
+use crate::plain;
 use crate::wire::Dispatch;
 use crate::wire::link::LinkError;
 
@@ -38,27 +39,28 @@
 /// Queueing time that an interactive request accepts, in objectives.
 const PATIENCE: u32 = 4;
 
-/// What a request's caller gets to see.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Progress {
-    /// Status of a plain service's answer.
-    Head {
-        /// HTTP status.
-        status: u16,
-        /// Content type.
-        content_type: String,
-    },
-    /// Next part of the answer.
-    Data(Bytes),
-    /// The answer is whole.
-    Done {
-        /// stop or length.
-        finish: String,
-        /// Tokens of the answer.
-        tokens: u64,
-    },
-    /// The request failed.
-    Failed(Failure),
+plain! {
+    /// What a request's caller gets to see.
+    pub enum Progress {
+        /// Status of a plain service's answer.
+        Head {
+            /// HTTP status.
+            status: u16,
+            /// Content type.
+            content_type: String,
+        },
+        /// Next part of the answer.
+        Data(Bytes),
+        /// The answer is whole.
+        Done {
+            /// stop or length.
+            finish: String,
+            /// Tokens of the answer.
+            tokens: u64,
+        },
+        /// The request failed.
+        Failed(Failure),
+    }
 }
 
 /// What all requests of an entry share.
--- a/src/entry/fleet_view.rs
+++ b/src/entry/fleet_view.rs
@@ -14,6 +14,7 @@
 use crate::agent::slot::SHORT_PROMPT;
 use crate::config::FleetConfig;
 use crate::ids::{EndpointName, Incarnation, Moment, Term, Tokens, Version};
+use crate::plain;
 use crate::wire::{Load, Member, SyncReply};
 
 /// Endpoints of one model that an entry uses.
@@ -34,15 +35,16 @@
 /// Prefixes remembered.
 const PREFIXES: usize = 200_000;
 
-/// Where an attempt goes.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Route {
-    /// Endpoint.
-    pub endpoint: EndpointName,
-    /// Address of its agent.
-    pub address: SocketAddr,
-    /// Run of its agent.
-    pub incarnation: Incarnation,
+plain! {
+    /// Where an attempt goes.
+    pub struct Route {
+        /// Endpoint.
+        pub endpoint: EndpointName,
+        /// Address of its agent.
+        pub address: SocketAddr,
+        /// Run of its agent.
+        pub incarnation: Incarnation,
+    }
 }
 
 /// What an attempt adds to a load until the next report.
--- a/src/entry/openai.rs
+++ b/src/entry/openai.rs
@@ -8,6 +8,7 @@
 use super::failure::Failure;
 use super::prefix::PrefixChain;
 use crate::ids::Tokens;
+use crate::plain;
 
 /// Bytes of text that count as one token.
 pub const BYTES_PER_TOKEN: usize = 4;
@@ -18,21 +19,22 @@
 /// Longest answer that may be asked for, in tokens.
 const MAX_OUTPUT: Tokens = 65_536;
 
-/// A completion request as the entry needs it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct CompletionRequest {
-    /// Model.
-    pub model: SmolStr,
-    /// Whether the caller wants a stream.
-    pub stream: bool,
-    /// Prompt length.
-    pub prompt_tokens: Tokens,
-    /// Longest answer.
-    pub output_tokens: Tokens,
-    /// Prefixes of the prompt.
-    pub chain: PrefixChain,
-    /// Body for the engine, streaming set.
-    pub body: Bytes,
+plain! {
+    /// A completion request as the entry needs it.
+    pub struct CompletionRequest {
+        /// Model.
+        pub model: SmolStr,
+        /// Whether the caller wants a stream.
+        pub stream: bool,
+        /// Prompt length.
+        pub prompt_tokens: Tokens,
+        /// Longest answer.
+        pub output_tokens: Tokens,
+        /// Prefixes of the prompt.
+        pub chain: PrefixChain,
+        /// Body for the engine, streaming set.
+        pub body: Bytes,
+    }
 }
 
 fn bad(message: impl Into<String>) -> Failure {
@@ -155,17 +157,18 @@
     Some(bodies)
 }
 
-/// Names that an answer repeats in each of its parts.
-#[derive(Clone, Debug, PartialEq)]
-pub struct AnswerShape {
-    /// Request.
-    pub id: SmolStr,
-    /// Model.
-    pub model: SmolStr,
-    /// Chat instead of plain completion.
-    pub chat: bool,
-    /// Seconds since 1970.
-    pub created: u64,
+plain! {
+    /// Names that an answer repeats in each of its parts.
+    pub struct AnswerShape {
+        /// Request.
+        pub id: SmolStr,
+        /// Model.
+        pub model: SmolStr,
+        /// Chat instead of plain completion.
+        pub chat: bool,
+        /// Seconds since 1970.
+        pub created: u64,
+    }
 }
 
 impl AnswerShape {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -9,32 +9,34 @@
 use super::prefix::PrefixChain;
 use crate::config::Workspace;
 use crate::ids::{Moment, RequestId, Tokens};
+use crate::plain;
 
-/// What is asked of the fleet.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Work {
-    /// A completion.
-    Completion {
-        /// Body for the engine, streaming set.
-        body: Bytes,
-        /// Chat instead of plain completion.
-        chat: bool,
-    },
-    /// A plain service's call.
-    Service {
-        /// HTTP method.
-        method: String,
-        /// Path and query at the service.
-        path: String,
-        /// Content type.
-        content_type: String,
-        /// Body.
-        body: Bytes,
-        /// Idempotency key; empty if there is none.
-        key: String,
-        /// Whether it may run more than once.
-        idempotent: bool,
-    },
+plain! {
+    /// What is asked of the fleet.
+    pub enum Work {
+        /// A completion.
+        Completion {
+            /// Body for the engine, streaming set.
+            body: Bytes,
+            /// Chat instead of plain completion.
+            chat: bool,
+        },
+        /// A plain service's call.
+        Service {
+            /// HTTP method.
+            method: String,
+            /// Path and query at the service.
+            path: String,
+            /// Content type.
+            content_type: String,
+            /// Body.
+            body: Bytes,
+            /// Idempotency key; empty if there is none.
+            key: String,
+            /// Whether it may run more than once.
+            idempotent: bool,
+        },
+    }
 }
 
 /// A request that passed the filters.
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::ids::Moment;
+use crate::plain;
 
 /// First pause before a retry.
 const FIRST_BACKOFF: Duration = Duration::from_millis(20);
@@ -22,10 +23,11 @@
 /// Retries that a workspace may save up.
 const MOST_SAVED: f64 = 200.0;
 
-/// Budget of one workspace: a share of its fresh requests.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RetryBudget {
-    left: f64,
+plain! {
+    /// Budget of one workspace: a share of its fresh requests.
+    pub struct RetryBudget {
+        left: f64,
+    }
 }
 
 impl Default for RetryBudget {
--- a/src/entry/router/predicted.rs
+++ b/src/entry/router/predicted.rs
@@ -7,29 +7,31 @@
 use super::{Candidate, RouteRequest, Router};
 use crate::agent::slot::SHORT_PROMPT;
 use crate::ids::Tokens;
+use crate::plain;
 
 /// One engine in so many, and at least one, never takes long prompts.
 const FREE_PART: usize = 7;
 
-/// Settings of the prediction.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Predicted {
-    /// Prefill rate until one is reported, in tokens a second.
-    pub default_rate: f64,
-    /// Prefill tokens of one engine step, which a short prompt may have to wait for.
-    pub step_tokens: f64,
-    /// Seconds added for another availability zone.
-    pub zone_cost_s: f64,
-    /// Seconds that count for a full memory.
-    pub memory_cost_s: f64,
-    /// Weight of the delay caused to each request there.
-    pub harm_weight: f64,
-    /// Queued seconds at which the set for long prompts grows.
-    pub grow_at_s: f64,
-    /// Candidates above which only a sample is scored.
-    pub sample_above: usize,
-    /// Size of the sample.
-    pub sample: usize,
+plain! {
+    /// Settings of the prediction.
+    pub struct Predicted {
+        /// Prefill rate until one is reported, in tokens a second.
+        pub default_rate: f64,
+        /// Prefill tokens of one engine step, which a short prompt may have to wait for.
+        pub step_tokens: f64,
+        /// Seconds added for another availability zone.
+        pub zone_cost_s: f64,
+        /// Seconds that count for a full memory.
+        pub memory_cost_s: f64,
+        /// Weight of the delay caused to each request there.
+        pub harm_weight: f64,
+        /// Queued seconds at which the set for long prompts grows.
+        pub grow_at_s: f64,
+        /// Candidates above which only a sample is scored.
+        pub sample_above: usize,
+        /// Size of the sample.
+        pub sample: usize,
+    }
 }
 
 impl Default for Predicted {
