--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -82,6 +82,8 @@
     let mut env = TestEnv::start(Shape {
         kv_tokens: 2_100_000,
         prefill_rate: 400_000.0,
+        // Slow enough that what nobody cancels outlives the patience of this test.
+        speed: 0.25,
         deadline_ms: 2500,
         ..Shape::default()
     });
