Move prompt classes and the clock to where both roles find them

Read as a newcomer: the agent's slot held the length of short prompts a second time, and entries took the wall clock from the core of control.

--- a/examples/load/report.rs
+++ b/examples/load/report.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 use std::time::Duration;
 
-use bitternlead::entry::prompt_class::PromptClass;
+use bitternlead::prompt_class::PromptClass;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
--- a/src/agent/slot.rs
+++ b/src/agent/slot.rs
@@ -14,11 +14,9 @@
 use crate::engine::http_service::HttpService;
 use crate::engine::{Engine, EngineLoad, PlainService};
 use crate::ids::{EndpointName, Moment, Tokens};
+use crate::prompt_class::SHORT_PROMPT;
 use crate::wire::Load;
 
-/// Prompts up to this many tokens count as short.
-pub const SHORT_PROMPT: Tokens = 4096;
-
 /// What a waiting attempt is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turn {
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -11,8 +11,8 @@
     ApplyOptions, BurnOptions, CheckOptions, DrainOptions, InitOptions, OrderOptions,
     RemoveOptions, StatusOptions,
 };
+use crate::clock::wall_ms;
 use crate::config::{self, NamedText};
-use crate::control::core::wall_ms;
 use crate::control::operators::{
     ApplyRequest, ChangeReply, DrainRequest, OrderRequest, RemoveRequest,
 };
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -14,6 +14,7 @@
 use super::state::ControlState;
 use super::store::Store;
 use super::sync_desk::{SyncDesk, WaitingSync};
+use crate::clock::wall_ms;
 use crate::config::FleetConfig;
 use crate::event;
 use crate::faults;
@@ -403,8 +404,3 @@
         }
     }
 }
-
-/// Wall time in milliseconds since 1970; for retention and reports only.
-pub fn wall_ms() -> u64 {
-    jiff::Timestamp::now().as_millisecond().max(0) as u64
-}
--- a/src/entry/burn_meter.rs
+++ b/src/entry/burn_meter.rs
@@ -9,11 +9,11 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::prompt_class::PromptClass;
+use crate::clock::wall_ms;
 use crate::config::Workspace;
-use crate::control::core::wall_ms;
 use crate::ids::Tokens;
 use crate::node::Node;
+use crate::prompt_class::PromptClass;
 use crate::wire::{BurnCount, BurnReport, Command, command};
 
 /// Interval between reports.
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -19,13 +19,13 @@
 use super::filter::{self, Chain, RequestState};
 use super::openai::{self, AnswerShape, CompletionRequest};
 use super::prefix::PrefixChain;
-use super::prompt_class::PromptClass;
 use super::request::{Job, Work};
 use super::service_calls::call_service;
-use crate::control::core::wall_ms;
+use crate::clock::wall_ms;
 use crate::event;
 use crate::http::{build, json, read_body};
 use crate::metrics::{ClassLabels, ReasonLabels, RequestLabels};
+use crate::prompt_class::PromptClass;
 
 /// Header that tells how a request ended.
 pub const OUTCOME_HEADER: &str = "bitternlead-outcome";
--- a/src/entry/fleet_view.rs
+++ b/src/entry/fleet_view.rs
@@ -11,10 +11,10 @@
 use super::breaker::Breaker;
 use super::prefix::{PrefixChain, PrefixIndex};
 use super::router::Candidate;
-use crate::agent::slot::SHORT_PROMPT;
 use crate::config::FleetConfig;
 use crate::ids::{EndpointName, Incarnation, Moment, Term, Tokens, Version};
 use crate::plain;
+use crate::prompt_class::SHORT_PROMPT;
 use crate::wire::{Load, Member, SyncReply};
 
 /// Endpoints of one model that an entry uses.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,7 +15,6 @@
 pub mod links;
 pub mod openai;
 pub mod prefix;
-pub mod prompt_class;
 pub mod request;
 pub mod retry;
 pub mod router;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -64,7 +64,7 @@
 impl Job {
     /// Priority level for queues and engines; shorter prompts go first.
     pub fn level(&self) -> u32 {
-        let class = super::prompt_class::PromptClass::of(self.prompt_tokens);
+        let class = crate::prompt_class::PromptClass::of(self.prompt_tokens);
         self.workspace.priority.level() + class.level()
     }
 
--- a/src/entry/router/predicted.rs
+++ b/src/entry/router/predicted.rs
@@ -5,9 +5,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Candidate, RouteRequest, Router};
-use crate::agent::slot::SHORT_PROMPT;
 use crate::ids::Tokens;
 use crate::plain;
+use crate::prompt_class::SHORT_PROMPT;
 
 /// One engine in so many, and at least one, never takes long prompts.
 const FREE_PART: usize = 7;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod burn;
 pub mod cli;
+pub mod clock;
 pub mod commands;
 pub mod config;
 pub mod config_lease;
@@ -21,6 +22,7 @@
 pub mod node;
 pub mod operator;
 pub mod process;
+pub mod prompt_class;
 pub mod raft;
 pub mod settings;
 pub mod wire;
--- a/src/node.rs
+++ b/src/node.rs
@@ -206,6 +206,6 @@
 
 /// Milliseconds since 1970, then random bits, so that a later run has a higher number.
 fn new_incarnation() -> Incarnation {
-    let millis = crate::control::core::wall_ms();
+    let millis = crate::clock::wall_ms();
     millis << 16 | u64::from(rand::random::<u16>())
 }
--- a/src/entry/prompt_class.rs
+++ b/src/prompt_class.rs
@@ -2,6 +2,15 @@
 
 use crate::ids::Tokens;
 
+/// Prompts up to this many tokens count as short.
+pub const SHORT_PROMPT: Tokens = 4096;
+
+/// Longest prompt of the medium class, in tokens.
+const MEDIUM_PROMPT: Tokens = 32_000;
+
+/// Longest prompt of the long class, in tokens.
+const LONG_PROMPT: Tokens = 100_000;
+
 /// Class of a prompt's length.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum PromptClass {
@@ -22,15 +31,15 @@
     /// Class of a prompt.
     ///
     /// ```
-    /// use bitternlead::entry::prompt_class::PromptClass;
+    /// use bitternlead::prompt_class::PromptClass;
     ///
     /// assert_eq!(PromptClass::of(1000).name(), "short");
     /// ```
     pub fn of(tokens: Tokens) -> Self {
         match tokens {
-            0..=4_096 => Self::Short,
-            4_097..=32_000 => Self::Medium,
-            32_001..=100_000 => Self::Long,
+            _ if tokens <= SHORT_PROMPT => Self::Short,
+            _ if tokens <= MEDIUM_PROMPT => Self::Medium,
+            _ if tokens <= LONG_PROMPT => Self::Long,
             _ => Self::Huge,
         }
     }
