Give tests addresses that nobody probes

Each test probed its port by binding it; while another thread forks a child, that child holds the probe's socket until its exec, and the real process comes too early. Ruled out: two tests with one port (each port is handed out once), left-over processes (none). Change: ports are handed out without a probe, and a start that finds its address in use is tried again. No check of the system under test was touched.

--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -34,19 +34,20 @@
 /// First port and number of ports that tests listen on.
 const PORTS: (u16, u16) = (10_000, 20_000);
 
-/// A free loopback address, followed by another free one, that no other test gets.
+/// A loopback address that no other test gets; the next port belongs to it too.
+///
+/// It is not tried out: a probe's socket can live on in a child that another thread is just
+/// starting, and the address would then be in use for a moment.
 pub fn free_address() -> SocketAddr {
-    loop {
-        let step = NEXT_PORT.fetch_add(2, Ordering::Relaxed);
-        let start = (std::process::id() as u16).wrapping_mul(98);
-        let port = PORTS.0 + start.wrapping_add(step) % PORTS.1 / 2 * 2;
-        let free = |port: u16| std::net::TcpListener::bind(("127.0.0.1", port)).is_ok();
-        if free(port) && free(port + 1) {
-            return SocketAddr::from(([127, 0, 0, 1], port));
-        }
-    }
+    let step = NEXT_PORT.fetch_add(2, Ordering::Relaxed);
+    let start = (std::process::id() as u16).wrapping_mul(98);
+    let port = PORTS.0 + start.wrapping_add(step) % PORTS.1 / 2 * 2;
+    SocketAddr::from(([127, 0, 0, 1], port))
 }
 
+/// Tries to start a process whose address is still in use.
+const START_TRIES: usize = 10;
+
 /// One running process; it is killed when dropped.
 pub struct Process {
     child: Child,
@@ -57,6 +58,21 @@
 
 impl Process {
     fn start(command: &[String], errors: &Path) -> Self {
+        let mut problem = String::new();
+        for _ in 0..START_TRIES {
+            match Self::try_start(command, errors) {
+                Ok(process) => return process,
+                Err(e) => problem = e,
+            }
+            if !problem.contains("in use") {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        panic!("not ready: {command:?}: {problem}")
+    }
+
+    fn try_start(command: &[String], errors: &Path) -> Result<Self, String> {
         let log = std::fs::File::options().create(true).append(true).open(errors).unwrap();
         let mut child = Command::new(&command[0])
             .args(&command[1..])
@@ -72,14 +88,17 @@
                 let _ = tx.send(line);
             }
         });
-        let line = rx.recv_timeout(PATIENCE).unwrap_or_else(|_| {
+        let Ok(line) = rx.recv_timeout(PATIENCE) else {
             let _ = child.kill();
-            panic!("not ready: {command:?}: {}", std::fs::read_to_string(errors).unwrap())
-        });
+            let _ = child.wait();
+            let log = std::fs::read_to_string(errors).unwrap_or_default();
+            return Err(log.lines().last().unwrap_or_default().to_owned());
+        };
         let parts = line.strip_prefix("ready ").expect("a ready line").split(' ');
         let pairs = parts.filter_map(|p| p.split_once('='));
         let addresses = pairs.map(|(n, a)| (n.to_owned(), a.parse().unwrap())).collect();
-        Self { child, addresses, command: command.to_vec(), errors: errors.to_owned() }
+        let (command, errors) = (command.to_vec(), errors.to_owned());
+        Ok(Self { child, addresses, command, errors })
     }
 
     /// An address of the ready line.
