Let stand-ins remember orders and runs across a restart

The same hole in bookings was worse: a run before the kill was not counted, so a second run would have passed as the first. Both are written to a file before the answer now, and the checks stay as they are.

--- a/examples/stand_in/engine.rs
+++ b/examples/stand_in/engine.rs
@@ -1,6 +1,8 @@
 //! A stand-in for a model engine: continuous batching, prefix cache and KV memory in tokens.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -31,6 +33,8 @@
     pub models: Vec<String>,
     /// Time to load a model.
     pub load_time: Duration,
+    /// File that remembers the orders taken across a restart.
+    pub orders_file: Option<PathBuf>,
 }
 
 impl Default for EngineConfig {
@@ -45,6 +49,7 @@
             checks_orders: false,
             models: Vec::new(),
             load_time: Duration::from_millis(300),
+            orders_file: None,
         }
     }
 }
@@ -145,7 +150,8 @@
 impl StandInEngine {
     pub fn start(cfg: EngineConfig) -> Arc<Self> {
         let models = cfg.models.clone();
-        let state = State { models, ..State::default() };
+        let order_log = cfg.orders_file.as_deref().map(read_orders).unwrap_or_default();
+        let state = State { models, order_log, ..State::default() };
         let engine = Arc::new(Self { cfg, state: Mutex::new(state), work: Notify::new() });
         engine.refresh();
         tokio::spawn(Arc::clone(&engine).run());
@@ -269,6 +275,9 @@
                 return false;
             }
             state.last_order = state.last_order.max(order.number);
+            if let Some(path) = &self.cfg.orders_file {
+                remember_order(path, &order);
+            }
             state.order_log.push(order.clone());
         }
         if order.kind == "load-model" {
@@ -384,6 +393,19 @@
     }
 }
 
+fn read_orders(path: &Path) -> Vec<EngineOrder> {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
+}
+
+fn remember_order(path: &Path, order: &EngineOrder) {
+    let line = serde_json::to_string(order).unwrap_or_default();
+    let file = std::fs::File::options().create(true).append(true).open(path);
+    if let Ok(mut file) = file {
+        let _ = writeln!(file, "{line}");
+    }
+}
+
 fn note(state: &mut State, block: u64, stored: bool) {
     state.event_number += 1;
     let event = CacheEvent { sequence: state.event_number, block, stored };
--- a/examples/stand_in/main.rs
+++ b/examples/stand_in/main.rs
@@ -42,6 +42,12 @@
     /// whether engines refuse orders with an old number
     #[argh(switch)]
     checks_orders: bool,
+    /// file that remembers the orders of a single engine across a restart (none)
+    #[argh(option)]
+    orders_file: Option<std::path::PathBuf>,
+    /// file that remembers the runs of a single service across a restart (none)
+    #[argh(option)]
+    runs_file: Option<std::path::PathBuf>,
     /// time that a service takes for a call in milliseconds (0)
     #[argh(option, default = "0")]
     service_delay_ms: u64,
@@ -57,6 +63,7 @@
         prefill_rate: options.prefill_rate,
         speed: options.speed,
         checks_orders: options.checks_orders,
+        orders_file: options.orders_file,
         models: options.models.split(',').filter(|m| !m.is_empty()).map(str::to_owned).collect(),
         ..EngineConfig::default()
     };
@@ -69,7 +76,7 @@
             (format!("engine-{number}"), engine_http::build_router(engine))
         } else {
             let delay = Duration::from_millis(options.service_delay_ms);
-            let service = Arc::new(StandInService::new(delay));
+            let service = Arc::new(StandInService::new(delay, options.runs_file.clone()));
             (format!("service-{}", number - options.engines), service::build_router(service))
         };
         tokio::spawn(bitternlead::http::serve(listener, router, cx.clone()));
--- a/examples/stand_in/service.rs
+++ b/examples/stand_in/service.rs
@@ -1,6 +1,9 @@
 //! A stand-in for a plain service that counts how often each call ran.
 
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::Write;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,11 +17,31 @@
 pub struct StandInService {
     runs: Mutex<BTreeMap<String, u64>>,
     delay: Duration,
+    runs_file: Option<PathBuf>,
 }
 
 impl StandInService {
-    pub fn new(delay: Duration) -> Self {
-        Self { runs: Mutex::default(), delay }
+    /// Builds a service that remembers its runs in a file, if one is named.
+    pub fn new(delay: Duration, runs_file: Option<PathBuf>) -> Self {
+        let mut runs = BTreeMap::new();
+        if let Some(path) = &runs_file {
+            let text = std::fs::read_to_string(path).unwrap_or_default();
+            text.lines().for_each(|key| *runs.entry(key.to_owned()).or_default() += 1);
+        }
+        Self { runs: Mutex::new(runs), delay, runs_file }
+    }
+
+    /// Counts a run, in the file first.
+    fn count(&self, key: &str) -> u64 {
+        let mut runs = self.runs.lock();
+        let file = self.runs_file.as_ref();
+        let file = file.and_then(|p| File::options().create(true).append(true).open(p).ok());
+        if let Some(mut file) = file {
+            let _ = writeln!(file, "{key}");
+        }
+        let run = runs.entry(key.to_owned()).or_default();
+        *run += 1;
+        *run
     }
 
     async fn answer(self: Arc<Self>, mut req: Request) -> Response {
@@ -28,12 +51,7 @@
         let limit = Duration::from_secs(10);
         let body = read_body(&mut req, 16 * 1024 * 1024, limit).await.unwrap_or_default();
         let key: String = req.header("idempotency-key").unwrap_or_default();
-        let run = {
-            let mut runs = self.runs.lock();
-            let run = runs.entry(key.clone()).or_default();
-            *run += 1;
-            *run
-        };
+        let run = self.count(&key);
         tokio::time::sleep(self.delay).await;
         let echo = String::from_utf8_lossy(&body).into_owned();
         json(StatusCode::OK, &json!({ "run": run, "key": key, "echo": echo }))
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -300,7 +300,7 @@
         std::fs::write(self.path("rules.toml"), rules).unwrap();
     }
 
-    fn start_stand_in(&mut self, _at: usize) {
+    fn start_stand_in(&mut self, at: usize) {
         let shape = &self.shape;
         let mut command = vec![
             stand_in().to_str().unwrap().to_owned(),
@@ -318,6 +318,10 @@
             shape.service_delay_ms.to_string(),
             "--port".into(),
             free_address().port().to_string(),
+            "--orders-file".into(),
+            self.path(&format!("orders-{at}")),
+            "--runs-file".into(),
+            self.path(&format!("runs-{at}")),
         ];
         if shape.checks_orders {
             command.push("--checks-orders".into());
