Let the memory test's prompts reach their engines

The prompts' predicted first token lay past the deadline, so they were shed at once and no engine ever held them; the test showed less than it said. The deadline is now longer than the prediction.

--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -84,7 +84,8 @@
         prefill_rate: 400_000.0,
         // Slow enough that what nobody cancels outlives the patience of this test.
         speed: 0.25,
-        deadline_ms: 2500,
+        // Longer than the predicted first token, else the prompts are shed at once.
+        deadline_ms: 12_000,
         ..Shape::default()
     });
     let prompt = "y".repeat(3_900_000);
