--- a/src/cli.rs
+++ b/src/cli.rs
@@ -20,6 +20,8 @@
     Agent(AgentOptions),
     /// Configuration, membership, orders and bookings.
     Control(ControlOptions),
+    /// The users' platform.
+    Platform(PlatformOptions),
     /// Forms a cluster.
     Init(InitOptions),
     /// Tries inventory and rules.
@@ -38,6 +40,35 @@
     Remove(RemoveOptions),
 }
 
+/// Run a role from the platform's settings file, which BITTERNLEAD_SETTINGS names.
+#[derive(FromArgs, Debug, PartialEq)]
+#[argh(subcommand, name = "platform")]
+pub struct PlatformOptions {
+    /// role
+    #[argh(subcommand)]
+    pub role: PlatformRole,
+}
+
+/// Roles on the platform.
+#[derive(FromArgs, Debug, PartialEq)]
+#[argh(subcommand)]
+pub enum PlatformRole {
+    /// Callers' side.
+    Entry(PlatformEntryOptions),
+    /// Configuration and announcements.
+    Control(PlatformControlOptions),
+}
+
+/// Run an entry.
+#[derive(FromArgs, Debug, PartialEq)]
+#[argh(subcommand, name = "entry")]
+pub struct PlatformEntryOptions {}
+
+/// Run a control replica; it founds, joins and repairs its cluster by itself.
+#[derive(FromArgs, Debug, PartialEq)]
+#[argh(subcommand, name = "control")]
+pub struct PlatformControlOptions {}
+
 /// Declares the options of a role: each a flag whose text is checked later, together with
 /// the environment.
 macro_rules! role_options {
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,6 +1,23 @@
-//! Wall time, for retention, schedules and reports only; leases and deadlines are monotonic.
+//! Clocks: one that goes on while the host is suspended, and wall time.
 
-/// Wall time in milliseconds since 1970.
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+
+use crate::ids::Moment;
+
+/// Wall time in milliseconds since 1970, for retention, schedules and reports only.
 pub fn wall_ms() -> u64 {
     jiff::Timestamp::now().as_millisecond().max(0) as u64
 }
+
+/// Time since the host started, suspended time included; leases and deadlines use it.
+///
+/// ```
+/// let earlier = bitternlead::clock::boot_now();
+/// assert!(bitternlead::clock::boot_now() >= earlier);
+/// ```
+pub fn boot_now() -> Moment {
+    let t = clock_gettime(ClockId::Boottime);
+    Duration::new(t.tv_sec.max(0) as u64, t.tv_nsec.max(0) as u32)
+}
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use slog::Logger;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use super::peers::PeerSender;
 use super::placement;
@@ -14,16 +14,16 @@
 use super::state::ControlState;
 use super::store::Store;
 use super::sync_desk::{SyncDesk, WaitingSync};
-use crate::clock::wall_ms;
+use crate::clock::{boot_now, wall_ms};
 use crate::config::FleetConfig;
 use crate::event;
 use crate::faults;
 use crate::ids::{Index, Moment, ReplicaId, Term};
 use crate::raft::{Effect, Raft};
-use crate::wire::{Command, HardState, Outcome, Peer, Replica, Sync, SyncReply, command};
+use crate::wire::{Command, Document, HardState, Outcome, Peer, Replica, Sync, SyncReply, command};
 
-/// Longest wait for input, and so the resolution of all timers here.
-const TICK: Duration = Duration::from_millis(20);
+/// Pause between tries to write a data folder anew.
+const REWRITE_PAUSE: Duration = Duration::from_millis(200);
 
 /// Inputs taken before the batch is synced.
 const MOST_INPUTS: usize = 2048;
@@ -37,6 +37,34 @@
     pub snapshot_entries: usize,
     /// Timing of the roster.
     pub roster: RosterConfig,
+    /// Longest wait for input, and so the resolution of all timers here.
+    pub tick: Duration,
+    /// What follows a failed write or sync.
+    pub on_write_error: OnWriteError,
+    /// Synced copies that a change of the document needs before it is taken.
+    pub document_copies: usize,
+}
+
+/// What a replica does after a failed write or sync; it answers nothing in either case.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnWriteError {
+    /// End the process.
+    End,
+    /// Write the whole folder anew until that succeeds.
+    Rewrite,
+}
+
+/// What a replica tells the rest of its process after each change.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Published {
+    /// The document, as far as it is applied here.
+    pub document: Document,
+    /// Replicas of the newest membership.
+    pub replicas: Vec<Replica>,
+    /// Whether this replica leads.
+    pub leads: bool,
+    /// Whether a leader is known.
+    pub in_touch: bool,
 }
 
 impl Default for CoreConfig {
@@ -45,6 +73,9 @@
             lease: Duration::from_millis(3000),
             snapshot_entries: 20_000,
             roster: RosterConfig::default(),
+            tick: Duration::from_millis(20),
+            on_write_error: OnWriteError::End,
+            document_copies: 1,
         }
     }
 }
@@ -85,6 +116,10 @@
     Sync(Box<Sync>, oneshot::Sender<Answer<SyncReply>>),
     /// Look at the state.
     Read(ReadFn),
+    /// Read the newest document, once a quorum has confirmed this leader after the call.
+    ReadDocument(oneshot::Sender<Answer<Document>>),
+    /// Form a cluster of given voters.
+    FoundWith(Vec<Replica>),
     /// Add a replica.
     Join(Replica, oneshot::Sender<Answer<bool>>),
     /// Remove a replica.
@@ -111,7 +146,8 @@
     peers: PeerSender,
     placed_at: Moment,
     log: Logger,
-    start: Instant,
+    reads: Vec<(Moment, oneshot::Sender<Answer<Document>>)>,
+    published: watch::Sender<Published>,
 }
 
 impl Core {
@@ -142,19 +178,25 @@
             peers,
             placed_at: Moment::ZERO,
             log,
-            start: Instant::now(),
+            reads: Vec::new(),
+            published: watch::Sender::new(Published::default()),
         }
     }
 
-    /// Runs until stopped. A failed write or sync ends the process.
+    /// What this replica publishes of itself.
+    pub fn published(&self) -> watch::Receiver<Published> {
+        self.published.subscribe()
+    }
+
+    /// Runs until stopped.
     pub fn run(mut self, rx: Receiver<Input>) {
         loop {
-            let first = match rx.recv_timeout(TICK) {
+            let first = match rx.recv_timeout(self.cfg.tick) {
                 Ok(input) => Some(input),
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
-            let now = self.start.elapsed();
+            let now = boot_now();
             let rest = std::iter::from_fn(|| rx.try_recv().ok()).take(MOST_INPUTS);
             for input in first.into_iter().chain(rest) {
                 if matches!(input, Input::Stop) {
@@ -193,6 +235,12 @@
                 }
                 let _ = reply.send(formed);
             }
+            Input::ReadDocument(reply) => self.reads.push((now, reply)),
+            Input::FoundWith(voters) => {
+                if self.raft.found_with(now, voters) {
+                    event!(self.log, ClusterFormed, "replica" => format!("{:016x}", self.own.id));
+                }
+            }
             Input::Stop => {}
         }
     }
@@ -222,6 +270,11 @@
         reply: oneshot::Sender<Answer<Outcome>>,
     ) {
         command.wall_ms = wall_ms();
+        let few = self.raft.quorum() < self.cfg.document_copies;
+        if few && matches!(command.kind, Some(command::Kind::Document(_))) {
+            let _ = reply.send(Answer::NotLeader(None));
+            return;
+        }
         match self.raft.propose(now, command) {
             Some((index, term)) => {
                 self.pending.insert(index, (term, reply));
@@ -257,6 +310,8 @@
         }
         self.perform(now);
         self.compact_if_due();
+        self.answer_reads();
+        self.publish();
         if self.raft.may_read(now) {
             let confirmed = self.raft.confirmed(now);
             self.desk.answer(now, confirmed, &self.state, &self.roster);
@@ -280,7 +335,7 @@
             }
         }
         let synced = self.store.sync();
-        self.end_on_error(synced);
+        self.settle_write(synced);
         for effect in later {
             self.perform_later(now, effect);
         }
@@ -340,7 +395,7 @@
         let hard = self.hard_state();
         let rest = self.raft.log().slice(state.applied + 1, usize::MAX);
         let written = self.store.compact(&data, hard, rest);
-        self.end_on_error(written);
+        self.settle_write(written);
         event!(self.log, SnapshotRestored, "index" => state.applied);
         self.state = state;
         let news = self.state.config.since(0);
@@ -359,7 +414,7 @@
         self.raft.compact(applied, data.clone());
         let rest = self.raft.log().slice(applied + 1, usize::MAX);
         let written = self.store.compact(&data, self.hard_state(), rest);
-        self.end_on_error(written);
+        self.settle_write(written);
         event!(self.log, SnapshotTaken, "index" => applied, "bytes" => data.len());
     }
 
@@ -368,12 +423,64 @@
     }
 
     /// After a failed write the folder's content is unknown, so no later answer can be trusted.
-    fn end_on_error(&self, written: std::io::Result<()>) {
-        if let Err(e) = written {
-            event!(self.log, SyncFailed, "error" => e.to_string());
+    fn settle_write(&mut self, written: std::io::Result<()>) {
+        let Err(e) = written else { return };
+        event!(self.log, SyncFailed, "error" => e.to_string());
+        if self.cfg.on_write_error == OnWriteError::End {
             eprintln!("bitternlead: write or sync of the data folder failed: {e}");
             std::process::exit(crate::exit_codes::ExitCode::DataFolder as i32);
         }
+        while !self.rewrite_store() {
+            std::thread::sleep(REWRITE_PAUSE);
+        }
+        event!(self.log, StoreRewritten, "index" => self.raft.log().last_index());
+    }
+
+    fn rewrite_store(&mut self) -> bool {
+        let log = self.raft.log();
+        let base = log.base_index();
+        let snapshot = (base > 0).then(|| log.snapshot().clone());
+        let entries = log.slice(base + 1, usize::MAX);
+        self.store.rewrite(snapshot.as_deref(), self.raft.hard_state(), entries).is_ok()
+    }
+
+    /// Answers reads that a quorum has confirmed since they came.
+    fn answer_reads(&mut self) {
+        if self.reads.is_empty() {
+            return;
+        }
+        let now = boot_now();
+        if !self.raft.may_read(now) {
+            for (_, reply) in std::mem::take(&mut self.reads) {
+                let _ = reply.send(self.not_leader());
+            }
+            return;
+        }
+        let confirmed = self.raft.confirmed(now);
+        for (since, reply) in std::mem::take(&mut self.reads) {
+            if confirmed > since {
+                let _ = reply.send(Answer::Done(self.state.document.clone()));
+            } else {
+                self.reads.push((since, reply));
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let leads = self.raft.is_leader();
+        let in_touch = leads || self.raft.leader().is_some();
+        self.published.send_if_modified(|held| {
+            let same = held.leads == leads
+                && held.in_touch == in_touch
+                && held.document.version == self.state.document.version
+                && held.replicas == self.raft.replicas();
+            if !same {
+                let document = self.state.document.clone();
+                let replicas = self.raft.replicas().to_vec();
+                *held = Published { document, replicas, leads, in_touch };
+            }
+            !same
+        });
     }
 
     fn log_roster(&mut self) {
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -17,6 +17,7 @@
 use super::state::ControlState;
 use super::store::Store;
 use super::{operators, server};
+use crate::clock::boot_now;
 use crate::event;
 use crate::http::{self, Readiness};
 use crate::metrics::Metrics;
@@ -72,7 +73,7 @@
         heartbeat: Duration::from_millis(settings.heartbeat_ms),
         ..RaftConfig::default()
     };
-    let raft = Raft::new(own.id, raft_cfg, rand::random(), Duration::ZERO, opened.found);
+    let raft = Raft::new(own.id, raft_cfg, rand::random(), boot_now(), opened.found);
     let peers = PeerSender::new(Handle::current(), link.clone(), address, cx.clone());
     let core_cfg = CoreConfig {
         lease: Duration::from_millis(settings.lease_ms),
@@ -81,6 +82,7 @@
             settle: Duration::from_millis(settings.settle_ms),
             ..RosterConfig::default()
         },
+        ..CoreConfig::default()
     };
     let core = Core::new(core_cfg, own.clone(), raft, opened.store, state, peers, log.clone());
     let (tx, rx) = channel();
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -10,7 +10,9 @@
 use super::config_records::ConfigRecords;
 use super::orders::Orders;
 use crate::ids::{Index, Term};
-use crate::wire::{Command, Entry, Members, OperationState, Outcome, Replica, Snapshot, command};
+use crate::wire::{
+    Command, Document, Entry, Members, OperationState, Outcome, Replica, Snapshot, command,
+};
 
 /// Operations whose first answer is remembered.
 const MOST_OPERATIONS: usize = 10_000;
@@ -32,6 +34,8 @@
     pub orders: Orders,
     /// Service-level counts.
     pub burn: BurnCounts,
+    /// Configuration document with the highest version.
+    pub document: Document,
     operations: HashMap<SmolStr, OperationState>,
     operation_order: VecDeque<SmolStr>,
 }
@@ -68,10 +72,22 @@
                 self.replicas = members.replicas;
                 Outcome { result: "ok".into(), number: index, ..Outcome::default() }
             }
+            Some(command::Kind::Document(document)) => self.take_document(document),
             Some(command::Kind::Noop(_)) | None => Outcome::default(),
         }
     }
 
+    /// Holds a document if its version is higher; a lower or equal one changes nothing.
+    fn take_document(&mut self, document: Document) -> Outcome {
+        let held = self.document.version;
+        let newer = document.version > held;
+        if newer {
+            self.document = document;
+        }
+        let result = if newer { "ok" } else { "exists" };
+        Outcome { result: result.into(), number: self.document.version, ..Outcome::default() }
+    }
+
     fn remember(&mut self, operation: SmolStr, outcome: Outcome, wall_ms: u64) {
         let text = operation.to_string();
         let state = OperationState { operation: text, outcome: Some(outcome), wall_ms };
@@ -100,6 +116,7 @@
             orders: self.orders.all(),
             operations: operations.collect(),
             burn: self.burn.export(),
+            document: Some(self.document.clone()),
         };
         snapshot.encode_to_vec()
     }
@@ -118,6 +135,7 @@
             claims: Claims::import(s.claims),
             orders: Orders::import(s.orders),
             burn: BurnCounts::import(s.burn),
+            document: s.document.unwrap_or_default(),
             ..Self::default()
         };
         for operation in s.operations {
--- a/src/control/store.rs
+++ b/src/control/store.rs
@@ -77,11 +77,19 @@
     /// # Errors
     /// Fails when the folder is in use, cannot be written, or lost synced data.
     pub fn open(folder: &Path) -> Result<Opened, StoreError> {
+        Self::open_as(folder, None)
+    }
+
+    /// Opens or creates a data folder; a new one gets the given identity.
+    ///
+    /// # Errors
+    /// Fails when the folder is in use, cannot be written, or lost synced data.
+    pub fn open_as(folder: &Path, founder: Option<ReplicaId>) -> Result<Opened, StoreError> {
         fs::create_dir_all(folder).context(IoSnafu { path: folder })?;
         let lock = lock_folder(folder)?;
         let id = match read_identity(folder)? {
             Some(id) => id,
-            None => create_identity(folder)?,
+            None => create_identity(folder, founder)?,
         };
         let snapshot = read_snapshot(&folder.join("snapshot"))?;
         let path = folder.join("log");
@@ -159,8 +167,29 @@
         self.sync()?;
         self.replace("snapshot", &frame_snapshot(snapshot))?;
         faults::reach("store.compact.between");
+        self.replace_log(hard, rest)
+    }
+
+    /// Writes the whole content anew after a failed write, whose effect is unknown.
+    ///
+    /// # Errors
+    /// The folder still cannot be written; it may be tried again.
+    pub fn rewrite(
+        &mut self,
+        snapshot: Option<&[u8]>,
+        hard: HardState,
+        entries: Vec<Entry>,
+    ) -> io::Result<()> {
+        self.batch.clear();
+        if let Some(snapshot) = snapshot {
+            self.replace("snapshot", &frame_snapshot(snapshot))?;
+        }
+        self.replace_log(hard, entries)
+    }
+
+    fn replace_log(&mut self, hard: HardState, entries: Vec<Entry>) -> io::Result<()> {
         self.put_hard(hard);
-        for entry in rest {
+        for entry in entries {
             self.put_entry(entry);
         }
         let frame = log_file::frame(&self.batch);
@@ -224,8 +253,8 @@
 }
 
 /// Creates the log before the identity, so that an identity without a log shows a loss.
-fn create_identity(folder: &Path) -> Result<ReplicaId, StoreError> {
-    let id = rand::rng().random_range(1..=u64::MAX);
+fn create_identity(folder: &Path, founder: Option<ReplicaId>) -> Result<ReplicaId, StoreError> {
+    let id = founder.unwrap_or_else(|| rand::rng().random_range(1..=u64::MAX));
     replace_file(folder, "log", b"").context(IoSnafu { path: folder.join("log") })?;
     let text = format!("{id:016x}\n");
     replace_file(folder, "identity", text.as_bytes())
--- a/src/events.rs
+++ b/src/events.rs
@@ -4,6 +4,9 @@
 
 use slog::{Drain, Level, Logger, o};
 
+/// Log lines that may wait for standard output.
+const OUTPUT_QUEUE: usize = 1024;
+
 /// Form of the log on standard error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogForm {
@@ -48,11 +51,12 @@
     LeaderLost = 301, Warning, "this replica no longer leads";
     LogTailCut = 302, Warning, "torn tail of the log cut";
     StoreRefused = 303, Error, "data folder refused";
-    SyncFailed = 304, Critical, "write or sync failed, ending the process";
+    SyncFailed = 304, Critical, "write or sync of the data folder failed";
     SnapshotTaken = 305, Info, "snapshot taken";
     SnapshotRestored = 306, Info, "snapshot of the leader restored";
     MembersChanged = 307, Info, "replicas of control changed";
     ClusterFormed = 308, Info, "cluster formed";
+    StoreRewritten = 309, Info, "data folder written anew after a failed write";
     ConfigAccepted = 400, Info, "configuration change accepted";
     ConfigRefused = 401, Warning, "configuration change refused";
     ConfigTaken = 402, Info, "configuration in force on this node";
@@ -63,6 +67,7 @@
     EndpointLeaving = 501, Info, "endpoint leaving";
     EndpointLost = 502, Warning, "endpoint lost";
     EndpointUnfit = 503, Warning, "endpoint unfit";
+    EndpointStands = 504, Info, "announced endpoint changed its standing";
     OrderPlaced = 510, Info, "order placed";
     OrderDone = 511, Info, "order done";
     OrderRefused = 512, Warning, "order refused by the fencing gate";
@@ -73,6 +78,16 @@
     AttemptRetried = 602, Info, "attempt retried";
     OutcomeUnknown = 603, Warning, "booking ended with unknown outcome";
     SettleDelayed = 604, Warning, "outcome of a booking not recorded yet";
+    RequestDone = 605, Info, "request answered";
+    RequestRejected = 606, Info, "request rejected";
+    StreamDone = 607, Info, "stream ended";
+    StreamBroken = 608, Warning, "stream broke off";
+    ControlHeard = 610, Info, "control replica heard";
+    ControlLost = 611, Warning, "control replica lost";
+    SettingsReloaded = 612, Info, "settings read anew";
+    DocumentAccepted = 620, Info, "configuration document accepted";
+    DocumentRefused = 621, Warning, "configuration document refused";
+    AnnouncementRefused = 622, Warning, "announcement refused";
 }
 
 impl fmt::Display for Event {
@@ -125,6 +140,16 @@
     (log, guard)
 }
 
+/// Builds the logger of a process that writes JSON lines to standard output.
+///
+/// Lines wait in a bounded queue; what does not fit is dropped and counted.
+pub fn build_output_logger(role: &'static str, node: &str) -> (Logger, slog_async::AsyncGuard) {
+    let json = slog_json::Json::default(std::io::stdout()).fuse();
+    let (drain, guard) = slog_async::Async::new(json).chan_size(OUTPUT_QUEUE).build_with_guard();
+    let log = Logger::root(drain.fuse(), o!("role" => role, "node" => node.to_owned()));
+    (log, guard)
+}
+
 /// A logger that drops everything.
 pub fn quiet_logger() -> Logger {
     Logger::root(slog::Discard, o!())
--- /dev/null
+++ b/src/gateway/budget.rs
@@ -0,0 +1,94 @@
+//! Shares one budget of repeated sends between all entries.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::ids::Moment;
+
+/// Part of an entry's share that is used, so that uneven views of the number of entries
+/// stay within the whole.
+const SAFE_PART: f64 = 0.6;
+
+/// Bound on repeated sends in any window.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BudgetConfig {
+    /// Repeated sends for each request in the window.
+    pub ratio: f64,
+    /// Repeated sends in the window beside that, over all entries.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+impl Default for BudgetConfig {
+    fn default() -> Self {
+        Self { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    tokens: f64,
+    filled_at: Moment,
+}
+
+/// Repeated sends that this entry may still make, by service.
+///
+/// ```
+/// use std::time::Duration;
+/// use bitternlead::gateway::budget::{BudgetConfig, RetryBudget};
+///
+/// let cfg = BudgetConfig { ratio: 0.0, slack: 10.0, ..BudgetConfig::default() };
+/// let mut budget = RetryBudget::new(cfg);
+/// let taken = (0..20).filter(|_| budget.take(Duration::ZERO, "s", 1)).count();
+/// assert_eq!(taken, 3);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct RetryBudget {
+    cfg: BudgetConfig,
+    buckets: HashMap<SmolStr, Bucket>,
+}
+
+impl RetryBudget {
+    /// Builds a budget.
+    pub fn new(cfg: BudgetConfig) -> Self {
+        Self { cfg, buckets: HashMap::new() }
+    }
+
+    /// Notes a request of a caller for a service.
+    pub fn request(&mut self, now: Moment, service: &str, entries: usize) {
+        let ratio = self.cfg.ratio * SAFE_PART;
+        let most = self.most(entries);
+        let bucket = self.fill(now, service, entries);
+        bucket.tokens = (bucket.tokens + ratio).min(most);
+    }
+
+    /// Takes one repeated send; false if none is left.
+    pub fn take(&mut self, now: Moment, service: &str, entries: usize) -> bool {
+        let bucket = self.fill(now, service, entries);
+        if bucket.tokens < 1.0 {
+            return false;
+        }
+        bucket.tokens -= 1.0;
+        true
+    }
+
+    /// What a bucket holds at most: half of the share, since a window may begin with a full
+    /// bucket and still gets what flows in.
+    fn most(&self, entries: usize) -> f64 {
+        (self.cfg.slack * SAFE_PART / 2.0 / entries.max(1) as f64).max(1.0)
+    }
+
+    fn fill(&mut self, now: Moment, service: &str, entries: usize) -> &mut Bucket {
+        let most = self.most(entries);
+        let per_s = most / self.cfg.window.as_secs_f64();
+        let full = Bucket { tokens: most, filled_at: now };
+        let bucket = self.buckets.entry(SmolStr::new(service)).or_insert(full);
+        let passed = now.saturating_sub(bucket.filled_at).as_secs_f64();
+        bucket.tokens = (bucket.tokens + passed * per_s).min(most);
+        bucket.filled_at = now;
+        bucket
+    }
+}
--- /dev/null
+++ b/src/gateway/events.rs
@@ -0,0 +1,75 @@
+//! Splits an event stream into whole events and reads their ids.
+
+use bytes::{Bytes, BytesMut};
+
+/// One whole event as its bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// Bytes with the empty line at the end.
+    pub data: Bytes,
+    /// Id, if it has one.
+    pub id: Option<u64>,
+}
+
+/// Collects bytes until events are whole.
+///
+/// ```
+/// use bitternlead::gateway::events::EventSplitter;
+///
+/// let mut splitter = EventSplitter::default();
+/// splitter.push(b"id: 7\ndata: x\n\nid: 8\nda");
+/// assert_eq!(splitter.next().unwrap().id, Some(7));
+/// assert!(splitter.next().is_none());
+/// assert!(splitter.has_rest());
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buf: BytesMut,
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, data: &[u8]) {
+        self.buf.extend_from_slice(data);
+    }
+
+    /// Whether a part of an event is held.
+    pub fn has_rest(&self) -> bool {
+        !self.buf.is_empty()
+    }
+}
+
+impl Iterator for EventSplitter {
+    type Item = StreamEvent;
+
+    fn next(&mut self) -> Option<StreamEvent> {
+        let end = find_end(&self.buf, self.searched.saturating_sub(3));
+        let Some(end) = end else {
+            self.searched = self.buf.len();
+            return None;
+        };
+        self.searched = 0;
+        let data = self.buf.split_to(end).freeze();
+        let id = read_id(&data);
+        Some(StreamEvent { data, id })
+    }
+}
+
+/// Position after the first empty line, with either form of line end.
+fn find_end(buf: &[u8], from: usize) -> Option<usize> {
+    for at in from..buf.len() {
+        if buf[at..].starts_with(b"\n\n") {
+            return Some(at + 2);
+        }
+        if buf[at..].starts_with(b"\n\r\n") {
+            return Some(at + 3);
+        }
+    }
+    None
+}
+
+fn read_id(event: &[u8]) -> Option<u64> {
+    let line = event.split(|b| *b == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,19 @@
+//! The entry's second face: opaque requests with declared tokens, passed through to endpoints
+//! that announce themselves.
+
+pub mod budget;
+pub mod config;
+pub mod dialect;
+pub mod engine_model;
+pub mod events;
+pub mod flights;
+pub mod follow;
+pub mod handler;
+pub mod health;
+pub mod placement;
+pub mod pool;
+pub mod relay;
+pub mod run;
+pub mod send;
+pub mod share;
+pub mod state;
--- /dev/null
+++ b/src/gateway/pool.rs
@@ -0,0 +1,105 @@
+//! Connections to endpoints, kept for further requests.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+/// Longest time to connect.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Unacknowledged bytes count as lost after this time.
+const UNACKED_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Time that an idle connection is kept when the endpoint names none.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// Time before the endpoint would close an idle connection at which it is not used any more.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// A connection that is closed when it is dropped.
+pub struct Connection {
+    /// Sends requests.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// Address of the endpoint.
+    pub addr: SocketAddr,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Idle {
+    conn: Connection,
+    until: Instant,
+}
+
+/// Idle connections by address.
+#[derive(Default)]
+pub struct Pool {
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Takes an idle connection.
+    pub fn take(&self, addr: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.lock();
+        let of_addr = idle.get_mut(&addr)?;
+        let now = Instant::now();
+        while let Some(Idle { conn, until }) = of_addr.pop() {
+            if until > now && !conn.sender.is_closed() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    /// Makes a new connection.
+    ///
+    /// # Errors
+    /// It could not be made in time; nothing was sent.
+    pub async fn connect(&self, addr: SocketAddr) -> std::io::Result<Connection> {
+        let stream = timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await??;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_LIMIT))?;
+        let handshake = Builder::new().max_buf_size(64 * 1024).handshake(TokioIo::new(stream));
+        let (sender, conn) = handshake.await.map_err(std::io::Error::other)?;
+        let task = tokio::spawn(async move {
+            // Its end shows at the sender; the error would only repeat what the request sees.
+            let _ = conn.await;
+        });
+        Ok(Connection { sender, addr, task: task.abort_handle() })
+    }
+
+    /// Keeps a connection whose last answer is complete.
+    pub fn give_back(&self, conn: Connection, keep_alive: Option<Duration>) {
+        let life = keep_alive.unwrap_or(IDLE).saturating_sub(IDLE_MARGIN);
+        if life.is_zero() || conn.sender.is_closed() {
+            return;
+        }
+        let until = Instant::now() + life;
+        self.idle.lock().entry(conn.addr).or_default().push(Idle { conn, until });
+    }
+
+    /// Closes connections that were idle too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.lock();
+        for of_addr in idle.values_mut() {
+            of_addr.retain(|i| i.until > now && !i.conn.sender.is_closed());
+        }
+        idle.retain(|_, of_addr| !of_addr.is_empty());
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,221 @@
+//! Passes a stream of events on, and goes on at another engine when one breaks off.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::config::Repeat;
+use super::events::{EventSplitter, StreamEvent};
+use super::handler::{AnswerBody, Placed, Task};
+use super::send::{Answer, Sent, describe, send};
+use super::state::{Endpoint, FlightGuard};
+use crate::clock::boot_now;
+use crate::event;
+
+/// Events that may wait for a caller who reads slowly.
+const QUEUE: usize = 8;
+
+/// Shortest silence inside a stream after which it is resumed elsewhere.
+const LEAST_SILENCE: Duration = Duration::from_millis(1200);
+
+/// Silence inside a stream, in longest pauses, after which it is resumed elsewhere.
+const SILENT_PAUSES: u32 = 4;
+
+type EventSender = mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>;
+
+/// Why one engine's part of a stream ended.
+enum PartEnd {
+    /// The stream is whole.
+    Complete,
+    /// The caller left.
+    CallerLeft,
+    /// The engine broke off or fell silent.
+    Broken(String),
+    /// The time is up.
+    TimeUp,
+}
+
+/// One engine's part of a stream.
+struct Part {
+    answer: Answer,
+    endpoint: Endpoint,
+    flights: FlightGuard,
+    predicted: Option<Duration>,
+    sent_at: Duration,
+}
+
+/// What was passed on so far.
+struct Progress {
+    last_event: Option<u64>,
+    events: u64,
+    first_at: Option<Duration>,
+}
+
+/// Starts to pass a stream on; returns the head of the caller's answer.
+pub fn start(task: Task, placed: Placed, answer: Answer) -> Response<AnswerBody> {
+    let (tx, rx) = mpsc::channel(QUEUE);
+    let stream = futures::stream::unfold(rx, |mut rx| async move {
+        let item = rx.recv().await?;
+        Some((item, rx))
+    });
+    let mut passed = Response::new(BodyExt::boxed(StreamBody::new(Box::pin(stream))));
+    *passed.status_mut() = answer.parts.status;
+    *passed.headers_mut() = task.gateway.dialect.pass_answer(&answer.parts.headers);
+    passed.headers_mut().remove(header::CONTENT_LENGTH);
+    let part = build_part(placed, answer);
+    tokio::spawn(run(task, part, tx));
+    passed
+}
+
+fn build_part(placed: Placed, answer: Answer) -> Part {
+    let Placed { endpoint, predicted, flights, placed_at, .. } = placed;
+    Part { answer, endpoint, flights, predicted, sent_at: placed_at }
+}
+
+async fn run(mut task: Task, part: Part, tx: EventSender) {
+    let mut progress = Progress { last_event: task.caller.last_event, events: 0, first_at: None };
+    let mut next = Some(part);
+    let mut ended = "complete";
+    while let Some(part) = next.take() {
+        let endpoint = part.endpoint.clone();
+        let end = pass_part(&task, part, &tx, &mut progress).await;
+        let reason = match end {
+            PartEnd::Complete => break,
+            PartEnd::CallerLeft => {
+                ended = "caller left";
+                break;
+            }
+            PartEnd::TimeUp => "time is up".to_owned(),
+            PartEnd::Broken(reason) => reason,
+        };
+        task.gateway.health.lock().failed(boot_now(), &endpoint.id);
+        task.may_have_run = true;
+        next = resume(&mut task, &tx, &progress, &reason).await;
+        if next.is_none() {
+            ended = "broken off";
+            event!(task.gateway.log, StreamBroken, "request" => task.caller.id.as_str(),
+                "endpoint" => endpoint.id.as_str(), "reason" => reason,
+                "events" => progress.events, "sends" => task.sends);
+            let _ = tx.send(Err(std::io::Error::other("the stream broke off"))).await;
+        }
+    }
+    let first = progress.first_at.unwrap_or_default().saturating_sub(task.started);
+    event!(task.gateway.log, StreamDone, "request" => task.caller.id.as_str(),
+        "route" => task.route.name.as_str(), "ended" => ended, "events" => progress.events,
+        "first_ms" => first.as_millis() as u64, "sends" => task.sends,
+        "ms" => boot_now().saturating_sub(task.started).as_millis() as u64);
+}
+
+/// Sends the request to another engine, to go on after the last event that was passed on.
+async fn resume(
+    task: &mut Task,
+    tx: &EventSender,
+    progress: &Progress,
+    reason: &str,
+) -> Option<Part> {
+    while !tx.is_closed() && task.route.repeat == Repeat::Idempotent && task.may_send_again() {
+        let placed = task.choose_next()?;
+        event!(task.gateway.log, AttemptRetried, "request" => task.caller.id.as_str(),
+            "endpoint" => placed.endpoint.id.as_str(), "reason" => reason,
+            "sends" => task.sends, "after_event" => progress.last_event);
+        let out = task.build(&placed, progress.last_event);
+        let limit = task.left();
+        let sending = send(&task.gateway, &placed.endpoint, &out, &task.caller.id, limit);
+        let sent = tokio::select! {
+            sent = sending => sent,
+            () = tx.closed() => return None,
+        };
+        task.note(&placed.endpoint, &sent);
+        if let Sent::Answer(answer) = sent
+            && answer.parts.status.is_success()
+        {
+            return Some(build_part(placed, *answer));
+        }
+    }
+    None
+}
+
+/// Passes the events of one engine on until they end.
+async fn pass_part(task: &Task, part: Part, tx: &EventSender, progress: &mut Progress) -> PartEnd {
+    let Part { answer, endpoint, flights, predicted, sent_at } = part;
+    let Answer { head, mut body, conn, .. } = answer;
+    let mut splitter = EventSplitter::default();
+    let silence = (task.route.pause_limit * SILENT_PAUSES).max(LEAST_SILENCE);
+    let may_resume = task.route.repeat == Repeat::Idempotent;
+    let mut first = true;
+    loop {
+        let left = task.left();
+        let limit = if may_resume && !first { left.min(silence) } else { left };
+        let frame = tokio::select! {
+            biased;
+            () = tx.closed() => return PartEnd::CallerLeft,
+            frame = timeout(limit, body.frame()) => frame,
+        };
+        let data = match frame {
+            Err(_) if task.left().is_zero() => return PartEnd::TimeUp,
+            Err(_) => return PartEnd::Broken("silent".into()),
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(Some(Err(e))) => return PartEnd::Broken(describe(&e)),
+            Ok(None) if splitter.has_rest() => return PartEnd::Broken("event cut off".into()),
+            Ok(None) => break,
+        };
+        splitter.push(&data);
+        for event in splitter.by_ref() {
+            if first {
+                first = false;
+                note_first(task, &endpoint, predicted, sent_at, progress);
+            }
+            flights.wrote(task.service.engine.as_ref().map_or(1, |m| u64::from(m.stride)));
+            if !pass_event(tx, event, progress).await {
+                return PartEnd::CallerLeft;
+            }
+        }
+    }
+    give_back(task, head.closes, head.keep_alive, conn, body);
+    PartEnd::Complete
+}
+
+fn give_back(
+    task: &Task,
+    closes: bool,
+    keep_alive: Option<Duration>,
+    conn: super::pool::Connection,
+    body: Incoming,
+) {
+    drop(body);
+    if !closes {
+        task.gateway.pool.give_back(conn, keep_alive);
+    }
+}
+
+/// Passes one event on unless the caller holds it; false once the caller left.
+async fn pass_event(tx: &EventSender, event: StreamEvent, progress: &mut Progress) -> bool {
+    let held = event.id.is_some_and(|id| progress.last_event.is_some_and(|last| id <= last));
+    if held {
+        return true;
+    }
+    if event.id.is_some() {
+        progress.last_event = event.id;
+    }
+    progress.events += 1;
+    tx.send(Ok(Frame::data(event.data))).await.is_ok()
+}
+
+fn note_first(
+    task: &Task,
+    endpoint: &Endpoint,
+    predicted: Option<Duration>,
+    sent_at: Duration,
+    progress: &mut Progress,
+) {
+    let now = boot_now();
+    progress.first_at.get_or_insert(now);
+    let took = now.saturating_sub(sent_at).as_secs_f64();
+    let slowness = predicted.map(|p| took / p.as_secs_f64().max(0.1));
+    task.gateway.health.lock().succeeded(now, &endpoint.id, slowness);
+}
--- /dev/null
+++ b/src/gateway/run.rs
@@ -0,0 +1,165 @@
+//! Starts and ends a gateway.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::follow::Follower;
+use super::handler::{self, AnswerBody};
+use super::share::{self, Others};
+use super::state::Gateway;
+use crate::clock::boot_now;
+use crate::control::service::SeedSource;
+use crate::event;
+use crate::process::{self, EndSignals, RunError};
+
+/// Interval at which old state is dropped.
+const SWEEP: Duration = Duration::from_millis(1000);
+
+/// Smallest buffer for the head of a request that the library takes, in bytes.
+const LEAST_HEAD: usize = 8192;
+
+/// Time of a stop in which connections stay open, so that callers learn of it by an answer.
+const ANNOUNCE: Duration = Duration::from_millis(3500);
+
+/// Part of the time for a stop that is kept to end the process.
+const END_MARGIN: Duration = Duration::from_millis(400);
+
+/// Addresses of a gateway, and its time to stop.
+#[derive(Clone)]
+pub struct GatewayAddresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Readiness probes.
+    pub ready: SocketAddr,
+    /// Load of other entries.
+    pub load: SocketAddr,
+    /// Longest time to stop.
+    pub grace: Duration,
+}
+
+/// Runs a gateway until it is told to end.
+///
+/// # Errors
+/// An address could not be bound.
+pub async fn run(
+    gateway: Arc<Gateway>,
+    addresses: GatewayAddresses,
+    seeds: SeedSource,
+) -> Result<(), RunError> {
+    let mut signals = EndSignals::new()?;
+    let (callers, _) = process::bind(addresses.callers).await?;
+    let (ready, _) = process::bind(addresses.ready).await?;
+    let socket = UdpSocket::bind(addresses.load).await;
+    let socket =
+        Arc::new(socket.map_err(|source| RunError::Listen { addr: addresses.load, source })?);
+    let cx = CancellationToken::new();
+    let others = Arc::new(Others::default());
+    let follower =
+        Follower::new(Arc::clone(&gateway), Arc::clone(&others), addresses.load, cx.clone());
+    tokio::spawn(follower.run(seeds));
+    tokio::spawn(share::tell(Arc::clone(&gateway), Arc::clone(&socket), others, cx.clone()));
+    tokio::spawn(share::hear(Arc::clone(&gateway), socket, cx.clone()));
+    tokio::spawn(sweep(Arc::clone(&gateway), cx.clone()));
+    tokio::spawn(serve_ready(ready, Arc::clone(&gateway)));
+    let close = CancellationToken::new();
+    let serving = tokio::spawn(serve_callers(callers, Arc::clone(&gateway), close.clone()));
+    event!(gateway.log, ProcessStarted, "address" => addresses.callers.to_string());
+    signals.next().await;
+    let under_way = gateway.flights.lock().own_count();
+    event!(gateway.log, ProcessDraining, "under_way" => under_way);
+    gateway.stopping.cancel();
+    let started = boot_now();
+    sleep(ANNOUNCE.min(addresses.grace / 2)).await;
+    close.cancel();
+    let passed = boot_now().saturating_sub(started);
+    let left = addresses.grace.saturating_sub(passed + END_MARGIN);
+    if timeout(left, serving).await.is_err() {
+        let under_way = gateway.flights.lock().own_count();
+        event!(gateway.log, DrainCutShort, "under_way" => under_way);
+    }
+    cx.cancel();
+    event!(gateway.log, ProcessStopped);
+    Ok(())
+}
+
+async fn sweep(gateway: Arc<Gateway>, cx: CancellationToken) {
+    while !cx.is_cancelled() {
+        sleep(SWEEP).await;
+        gateway.pool.sweep();
+        gateway.flights.lock().sweep(boot_now());
+        let endpoints = gateway.endpoints.lock();
+        gateway.health.lock().retain(|id| endpoints.is_ready(id));
+    }
+}
+
+/// Accepts callers until told to close, then lets open requests end.
+async fn serve_callers(listener: TcpListener, gateway: Arc<Gateway>, close: CancellationToken) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            () = close.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => serve_caller(stream, &gateway, &graceful),
+            Err(_) => sleep(Duration::from_millis(20)).await,
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve_caller(stream: TcpStream, gateway: &Arc<Gateway>, graceful: &GracefulShutdown) {
+    let _ = stream.set_nodelay(true);
+    let limits = gateway.config.load().as_ref().map(|c| c.limits.clone()).unwrap_or_default();
+    let gateway = Arc::clone(gateway);
+    let service = service_fn(move |req| handler::handle(Arc::clone(&gateway), req));
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        .max_buf_size(limits.header_bytes.max(LEAST_HEAD))
+        .serve_connection(TokioIo::new(stream), service);
+    let conn = graceful.watch(conn);
+    tokio::spawn(async move {
+        // A caller that leaves or sends no HTTP ends only its own connection.
+        let _ = conn.await;
+    });
+}
+
+async fn serve_ready(listener: TcpListener, gateway: Arc<Gateway>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let gateway = Arc::clone(&gateway);
+        tokio::spawn(async move {
+            let service = service_fn(move |req| answer_ready(Arc::clone(&gateway), req));
+            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let _ = conn.await;
+        });
+    }
+}
+
+async fn answer_ready(
+    gateway: Arc<Gateway>,
+    _req: Request<Incoming>,
+) -> Result<Response<AnswerBody>, std::convert::Infallible> {
+    let ready = gateway.config.load().is_some() && !gateway.stopping.is_cancelled();
+    let mut answer = Response::new(handler::full(bytes::Bytes::new()));
+    if !ready {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    Ok(answer)
+}
--- /dev/null
+++ b/src/gateway/share.rs
@@ -0,0 +1,80 @@
+//! Tells other entries what this one has under way, in datagrams that replace each other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::state::Gateway;
+use crate::clock::{boot_now, wall_ms};
+use crate::wire::SharedLoad;
+
+/// Time in which changes are gathered into one datagram.
+const GATHER: Duration = Duration::from_millis(2);
+
+/// Interval at which the load is told anew though nothing changed.
+const REPEAT: Duration = Duration::from_millis(500);
+
+/// Largest datagram in bytes.
+const MOST_BYTES: usize = 60_000;
+
+/// Load addresses of the other entries.
+#[derive(Default)]
+pub struct Others {
+    addresses: Mutex<Vec<SocketAddr>>,
+}
+
+impl Others {
+    /// Replaces the addresses; `own` is left out.
+    pub fn replace(&self, told: &[String], own: SocketAddr) {
+        let all = told.iter().filter_map(|a| a.parse().ok());
+        *self.addresses.lock() = all.filter(|a| *a != own).collect();
+    }
+}
+
+/// Sends the own load to the other entries whenever it changes.
+pub async fn tell(
+    gateway: Arc<Gateway>,
+    socket: Arc<UdpSocket>,
+    others: Arc<Others>,
+    cx: CancellationToken,
+) {
+    let (incarnation, mut seq) = (wall_ms(), 0);
+    while !cx.is_cancelled() {
+        let _ = timeout(REPEAT, gateway.load_changed.notified()).await;
+        sleep(GATHER).await;
+        seq += 1;
+        let now = boot_now();
+        let flights = gateway.flights.lock().share(now);
+        let node = gateway.cfg.node.to_string();
+        let data = SharedLoad { node, incarnation, seq, flights }.encode_to_vec();
+        if data.len() > MOST_BYTES {
+            continue;
+        }
+        let targets = others.addresses.lock().clone();
+        for addr in targets {
+            // A datagram that is lost is replaced by the next one.
+            let _ = socket.try_send_to(&data, addr);
+        }
+    }
+}
+
+/// Takes the load of other entries.
+pub async fn hear(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, cx: CancellationToken) {
+    let mut buf = vec![0; MOST_BYTES];
+    loop {
+        let received = tokio::select! {
+            () = cx.cancelled() => return,
+            received = socket.recv_from(&mut buf) => received,
+        };
+        let Ok((len, _)) = received else { continue };
+        if let Ok(load) = SharedLoad::decode(&buf[..len]) {
+            gateway.flights.lock().hear(boot_now(), load);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,270 @@
+//! What all tasks of a gateway share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use parking_lot::Mutex;
+use slog::Logger;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use super::budget::{BudgetConfig, RetryBudget};
+use super::config::GatewayConfig;
+use super::dialect::Dialect;
+use super::flights::{Flight, FlightKey, Flights};
+use super::health::Health;
+use super::pool::Pool;
+use crate::clock::boot_now;
+use crate::directory::EndpointId;
+use crate::event;
+use crate::ids::Moment;
+use crate::wire::{Announcement, Document, Standing};
+
+/// Time after which what a lost control replica told is forgotten, if another one is heard.
+const STALE_TABLE: Duration = Duration::from_secs(5);
+
+/// An endpoint that may be sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Identity.
+    pub id: EndpointId,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: SmolStr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+struct Table {
+    said: HashMap<EndpointId, Announcement>,
+    lost_at: Option<Moment>,
+}
+
+/// Endpoints as all followed control replicas tell them.
+#[derive(Default)]
+pub struct Endpoints {
+    tables: HashMap<String, Table>,
+    ready: HashMap<SmolStr, Arc<Vec<Endpoint>>>,
+}
+
+impl Endpoints {
+    /// Takes news of one control replica.
+    pub fn hear(&mut self, control: &str, announcements: Vec<Announcement>, full: bool) {
+        let empty = || Table { said: HashMap::new(), lost_at: None };
+        let table = self.tables.entry(control.to_owned()).or_insert_with(empty);
+        table.lost_at = None;
+        if full {
+            table.said.clear();
+        }
+        for said in announcements {
+            table.said.insert(EndpointId::new(&said.id), said);
+        }
+        self.merge();
+    }
+
+    /// Notes that a control replica is not heard any more.
+    pub fn lose(&mut self, now: Moment, control: &str) {
+        if let Some(table) = self.tables.get_mut(control) {
+            table.lost_at.get_or_insert(now);
+        }
+    }
+
+    /// Forgets what replicas told that were lost long ago.
+    pub fn sweep(&mut self, now: Moment) {
+        if self.tables.values().all(|t| t.lost_at.is_some()) {
+            return;
+        }
+        let before = self.tables.len();
+        self.tables.retain(|_, t| t.lost_at.is_none_or(|at| now.saturating_sub(at) < STALE_TABLE));
+        if self.tables.len() != before {
+            self.merge();
+        }
+    }
+
+    /// Endpoints of a service that take work.
+    pub fn of(&self, service: &str) -> Arc<Vec<Endpoint>> {
+        self.ready.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Whether an endpoint takes work.
+    pub fn is_ready(&self, id: &str) -> bool {
+        self.ready.values().any(|of_service| of_service.iter().any(|e| e.id == id))
+    }
+
+    fn merge(&mut self) {
+        let mut newest: HashMap<&str, &Announcement> = HashMap::new();
+        for said in self.tables.values().flat_map(|t| t.said.values()) {
+            let held = newest.entry(said.id.as_str()).or_insert(said);
+            if precedence(said) > precedence(held) {
+                *held = said;
+            }
+        }
+        let mut by_address: HashMap<&str, &Announcement> = HashMap::new();
+        for said in newest.into_values() {
+            let held = by_address.entry(said.address.as_str()).or_insert(said);
+            if said.born > held.born {
+                *held = said;
+            }
+        }
+        let mut ready: HashMap<SmolStr, Vec<Endpoint>> = HashMap::new();
+        for said in by_address.into_values().filter(|s| s.standing() == Standing::Ready) {
+            let Ok(addr) = said.address.parse() else { continue };
+            let (id, zone) = (EndpointId::new(&said.id), SmolStr::new(&said.zone));
+            let endpoint = Endpoint { id, addr, zone, slots: said.slots };
+            ready.entry(SmolStr::new(&said.service)).or_default().push(endpoint);
+        }
+        for of_service in ready.values_mut() {
+            of_service.sort_by(|a, b| a.id.cmp(&b.id));
+        }
+        self.ready = ready.into_iter().map(|(name, list)| (name, Arc::new(list))).collect();
+    }
+}
+
+/// Of two announcements of one endpoint the one with the higher value holds.
+///
+/// A later start goes first; within one start its end cannot be taken back, and one that a
+/// replica still hears is not silent.
+fn precedence(said: &Announcement) -> (u64, u8, u64) {
+    let rank = match said.standing() {
+        Standing::Gone => 2,
+        Standing::Ready | Standing::Draining => 1,
+        Standing::Silent => 0,
+    };
+    (said.born, rank, said.seq)
+}
+
+/// Settings of a gateway's decisions.
+#[derive(Clone, Debug, Default)]
+pub struct GatewaySettings {
+    /// Name of this node.
+    pub node: SmolStr,
+    /// Availability zone.
+    pub zone: SmolStr,
+    /// Shared budget of repeated sends.
+    pub budget: BudgetConfig,
+}
+
+/// State of one gateway.
+pub struct Gateway {
+    /// Settings.
+    pub cfg: GatewaySettings,
+    /// Protocol of callers and endpoints.
+    pub dialect: Arc<dyn Dialect>,
+    /// Configuration in force.
+    pub config: ArcSwapOption<GatewayConfig>,
+    /// Announced endpoints.
+    pub endpoints: Mutex<Endpoints>,
+    /// Sends under way.
+    pub flights: Mutex<Flights>,
+    /// Health of endpoints.
+    pub health: Mutex<Health>,
+    /// Budget of repeated sends.
+    pub budget: Mutex<RetryBudget>,
+    /// Connections to endpoints.
+    pub pool: Pool,
+    /// Wakes the task that shares the own load.
+    pub load_changed: Notify,
+    /// Cancelled once this process is told to end.
+    pub stopping: CancellationToken,
+    /// Log.
+    pub log: Logger,
+}
+
+impl Gateway {
+    /// Builds the state of a gateway that knows nothing yet.
+    pub fn new(cfg: GatewaySettings, dialect: Arc<dyn Dialect>, log: Logger) -> Self {
+        let budget = RetryBudget::new(cfg.budget.clone());
+        Self {
+            cfg,
+            dialect,
+            config: ArcSwapOption::empty(),
+            endpoints: Mutex::default(),
+            flights: Mutex::default(),
+            health: Mutex::default(),
+            budget: Mutex::new(budget),
+            pool: Pool::default(),
+            load_changed: Notify::new(),
+            stopping: CancellationToken::new(),
+            log,
+        }
+    }
+
+    /// Version of the configuration in force; 0 when there is none.
+    pub fn version(&self) -> u64 {
+        self.config.load().as_ref().map_or(0, |c| c.version)
+    }
+
+    /// Puts a document in force if it is newer.
+    pub fn take_document(&self, document: &Document, from: &str) {
+        if document.version <= self.version() {
+            return;
+        }
+        match self.dialect.decode_document(document) {
+            Ok(config) => {
+                event!(self.log, ConfigTaken, "version" => document.version, "from" => from);
+                self.config.store(Some(Arc::new(config)));
+            }
+            Err(findings) => {
+                event!(self.log, ConfigUnreadable, "version" => document.version,
+                    "from" => from, "findings" => findings.to_string());
+            }
+        }
+    }
+
+    /// Notes sends that start; they end when the guard is dropped.
+    pub fn start_flights(self: &Arc<Self>, flights: Vec<Flight>) -> FlightGuard {
+        let mut held = self.flights.lock();
+        let keys = flights.into_iter().map(|f| held.start(f)).collect();
+        drop(held);
+        self.load_changed.notify_one();
+        FlightGuard { gateway: Arc::clone(self), keys }
+    }
+
+    /// Takes one repeated send from the budget of a service.
+    pub fn take_retry(&self, service: &str) -> bool {
+        let entries = self.flights.lock().entries();
+        self.budget.lock().take(boot_now(), service, entries)
+    }
+}
+
+/// Sends under way; dropping it ends them.
+pub struct FlightGuard {
+    gateway: Arc<Gateway>,
+    keys: Vec<FlightKey>,
+}
+
+impl FlightGuard {
+    /// Notes that a stream wrote so many more tokens.
+    pub fn wrote(&self, tokens: u64) {
+        let mut flights = self.gateway.flights.lock();
+        let first = self.keys.first().and_then(|key| flights.get_mut(*key));
+        let starts = first.is_some_and(|f| {
+            let starts = f.written == 0;
+            f.written += tokens;
+            starts
+        });
+        if starts {
+            for key in &self.keys[1..] {
+                flights.end(*key);
+            }
+            drop(flights);
+            self.gateway.load_changed.notify_one();
+        }
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        let mut flights = self.gateway.flights.lock();
+        for key in &self.keys {
+            flights.end(*key);
+        }
+        drop(flights);
+        self.gateway.load_changed.notify_one();
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,18 +2,20 @@
 
 use std::time::Duration;
 
-use bitternlead::cli::{Cli, Command};
+use bitternlead::cli::{Cli, Command, PlatformRole};
 use bitternlead::commands::{self, CommandError};
-use bitternlead::events::build_logger;
+use bitternlead::events::{build_logger, build_output_logger};
 use bitternlead::exit_codes::ExitCode;
 use bitternlead::findings::Findings;
+use bitternlead::platform::roles;
+use bitternlead::platform::settings::PlatformSettings;
 use bitternlead::process::RunError;
 use bitternlead::settings::{
     AgentSettings, CommonSettings, ControlSettings, EntrySettings, SettingSource,
 };
 use bitternlead::{agent, control, entry};
 use slog::Logger;
-use tokio::runtime::Builder;
+use tokio::runtime::{Builder, Runtime};
 
 fn main() -> std::process::ExitCode {
     let scenario = fail::FailScenario::setup();
@@ -37,6 +39,7 @@
             Ok(s) => run_role("control", &s.common.clone(), |log| control::run::run(s, log)),
             Err(findings) => refuse(&findings),
         },
+        Command::Platform(o) => run_on_platform(o.role),
         Command::Check(o) => finish(commands::check(o)),
         Command::Init(o) => run_command(commands::init(o)),
         Command::Apply(o) => run_command(commands::apply(o)),
@@ -57,6 +60,29 @@
     ExitCode::BadInput
 }
 
+fn run_on_platform(role: PlatformRole) -> ExitCode {
+    let (settings, path) = match PlatformSettings::load() {
+        Ok(loaded) => loaded,
+        Err(findings) => return refuse(&findings),
+    };
+    let name = match role {
+        PlatformRole::Entry(_) => "entry",
+        PlatformRole::Control(_) => "control",
+    };
+    let (log, _guard) = build_output_logger(name, &settings.node);
+    let Ok(runtime) = Builder::new_current_thread().enable_all().build() else {
+        eprintln!("bitternlead: cannot start");
+        return ExitCode::Failure;
+    };
+    let ended = runtime.block_on(async move {
+        match role {
+            PlatformRole::Entry(_) => roles::run_entry(settings, path, log).await,
+            PlatformRole::Control(_) => roles::run_control(settings, path, log).await,
+        }
+    });
+    finish_role(runtime, ended)
+}
+
 fn run_role<F>(
     role: &'static str,
     common: &CommonSettings,
@@ -71,6 +97,10 @@
         return ExitCode::Failure;
     };
     let ended = runtime.block_on(start(log));
+    finish_role(runtime, ended)
+}
+
+fn finish_role(runtime: Runtime, ended: Result<(), RunError>) -> ExitCode {
     runtime.shutdown_timeout(Duration::from_millis(200));
     match ended {
         Ok(()) => ExitCode::Success,
--- /dev/null
+++ b/src/platform/roles.rs
@@ -0,0 +1,91 @@
+//! Starts the roles from the platform's settings file.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use slog::Logger;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+use super::control;
+use super::headers::PlatformDialect;
+use super::settings::{PlatformSettings, follow_seeds};
+use crate::control::service::{ControlService, ServiceSettings};
+use crate::event;
+use crate::gateway::run::{self, GatewayAddresses};
+use crate::gateway::state::{Gateway, GatewaySettings};
+use crate::process::{self, EndSignals, RunError};
+
+/// Runs an entry.
+///
+/// # Errors
+/// An address could not be bound, or the settings name none.
+pub async fn run_entry(
+    settings: PlatformSettings,
+    path: PathBuf,
+    log: Logger,
+) -> Result<(), RunError> {
+    follow_hangups(log.clone())?;
+    let cfg = GatewaySettings {
+        node: settings.node.clone(),
+        zone: settings.zone.clone(),
+        budget: settings.budget.clone(),
+    };
+    let any = (settings.ip, 0).into();
+    let addresses = GatewayAddresses {
+        callers: settings.callers.unwrap_or(any),
+        ready: settings.ready.unwrap_or(any),
+        load: settings.load_address(),
+        grace: settings.grace,
+    };
+    let gateway = Arc::new(Gateway::new(cfg, Arc::new(PlatformDialect), log));
+    run::run(gateway, addresses, follow_seeds(path, settings)).await
+}
+
+/// Runs a control replica.
+///
+/// # Errors
+/// An address could not be bound, or the settings name none.
+pub async fn run_control(
+    settings: PlatformSettings,
+    path: PathBuf,
+    log: Logger,
+) -> Result<(), RunError> {
+    follow_hangups(log.clone())?;
+    let mut signals = EndSignals::new()?;
+    let cx = CancellationToken::new();
+    let operators = settings.operators.unwrap_or((settings.ip, 0).into());
+    let (listener, addr) = process::bind(operators).await?;
+    let founders = if settings.first_start { settings.seed_addresses() } else { Vec::new() };
+    let cfg = ServiceSettings {
+        node: settings.node.to_string(),
+        zone: settings.zone.to_string(),
+        listen: settings.control_address(),
+        operators: addr,
+        data: settings.data.clone().unwrap_or_else(|| PathBuf::from("data")),
+        founders,
+        tolerance: settings.tolerance,
+        endpoint_silence: settings.endpoint_silence,
+        seeds: follow_seeds(path, settings),
+    };
+    let service = ControlService::start(cfg, log.clone(), cx.clone()).await?;
+    tokio::spawn(control::serve(listener, service, log.clone(), cx.clone()));
+    event!(log, ProcessStarted, "address" => addr.to_string());
+    signals.next().await;
+    event!(log, ProcessDraining);
+    cx.cancel();
+    event!(log, ProcessStopped);
+    Ok(())
+}
+
+/// Keeps the process running on SIGHUP; the settings file is looked at all the time anyway.
+fn follow_hangups(log: Logger) -> Result<(), RunError> {
+    let mut hangups =
+        signal(SignalKind::hangup()).map_err(|source| RunError::Signals { source })?;
+    tokio::spawn(async move {
+        while hangups.recv().await.is_some() {
+            event!(log, SettingsReloaded);
+        }
+    });
+    Ok(())
+}
--- a/src/raft/membership.rs
+++ b/src/raft/membership.rs
@@ -22,6 +22,23 @@
         true
     }
 
+    /// Forms a cluster of given voters, of which this replica is one.
+    ///
+    /// All of them have to start with the same list, and none may have voted before.
+    pub fn found_with(&mut self, now: Moment, voters: Vec<Replica>) -> bool {
+        let listed = voters.iter().any(|r| r.id == self.id);
+        if !listed || !self.log.members().is_empty() || self.log.last_index() > 0 {
+            return false;
+        }
+        self.term = 1;
+        self.save_hard();
+        let entry = Entry { index: 1, term: 1, command: Some(members_command(voters)) };
+        self.log.append(entry.clone());
+        self.effects.push(Effect::SaveEntry(entry));
+        self.reset_deadline(now);
+        true
+    }
+
     /// Adds a replica as a learner; true once it is in the membership.
     ///
     /// A replica with the address of a former one replaces it when it has caught up.
@@ -70,8 +87,12 @@
         let mut replicas = self.log.members().to_vec();
         let former =
             replicas.iter().position(|r| r.voter && r.address == ready.address && r.id != self.id);
+        let full = self.cfg.voters.is_some_and(|most| self.voters().len() >= most);
         if let Some(at) = former {
             replicas.remove(at);
+        } else if full {
+            let Some(silent) = self.find_silent_voter(now) else { return };
+            replicas.retain(|r| r.id != silent);
         } else {
             for replica in replicas.iter_mut().filter(|r| r.id == ready.id) {
                 replica.voter = true;
@@ -80,6 +101,15 @@
         self.propose(now, members_command(replicas));
     }
 
+    /// A voter that this leader has not heard for too long.
+    fn find_silent_voter(&self, now: Moment) -> Option<ReplicaId> {
+        let silent = |id: &ReplicaId| {
+            let heard = self.progress.get(id).map_or(self.led_at, |p| p.heard_at.max(self.led_at));
+            *id != self.id && now.saturating_sub(heard) >= self.cfg.replace_after
+        };
+        self.voters().into_iter().find(silent)
+    }
+
     fn find_ready_learner(&self) -> Option<Replica> {
         let caught_up = |r: &&Replica| {
             !r.voter && self.progress.get(&r.id).is_some_and(|p| p.matched >= self.commit)
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -31,6 +31,11 @@
     pub batch: usize,
     /// Bytes of a snapshot in one message.
     pub chunk: usize,
+    /// Voters beyond which a learner that caught up has to replace a silent voter; any number
+    /// when absent.
+    pub voters: Option<usize>,
+    /// Silence after which a waiting learner replaces a voter.
+    pub replace_after: Duration,
 }
 
 impl Default for RaftConfig {
@@ -40,6 +45,8 @@
             heartbeat: Duration::from_millis(150),
             batch: 512,
             chunk: 256 * 1024,
+            voters: None,
+            replace_after: Duration::from_secs(2),
         }
     }
 }
@@ -96,6 +103,7 @@
     in_flight: bool,
     round: u64,
     install_offset: u64,
+    heard_at: Moment,
 }
 
 /// One replica's protocol state.
@@ -117,6 +125,7 @@
     rounds: VecDeque<(u64, Moment)>,
     confirmed_at: Moment,
     heartbeat_at: Moment,
+    led_at: Moment,
     incoming: Option<(Index, Term, Vec<u8>)>,
     effects: Vec<Effect>,
 }
@@ -143,6 +152,7 @@
             rounds: VecDeque::new(),
             confirmed_at: now,
             heartbeat_at: now,
+            led_at: now,
             incoming: None,
             effects: Vec::new(),
         };
@@ -279,7 +289,8 @@
         self.log.members().iter().map(|r| r.id).filter(|id| *id != self.id).collect()
     }
 
-    fn quorum(&self) -> usize {
+    /// Number of voters that have to agree.
+    pub fn quorum(&self) -> usize {
         self.voters().len() / 2 + 1
     }
 
@@ -331,6 +342,7 @@
         self.rounds.clear();
         self.confirmed_at = now;
         self.heartbeat_at = now;
+        self.led_at = now;
         self.effects.push(Effect::Lead);
         let noop = Command { kind: Some(command::Kind::Noop(Noop {})), ..Command::default() };
         self.propose(now, noop);
--- a/src/raft/replication.rs
+++ b/src/raft/replication.rs
@@ -151,6 +151,7 @@
         let last = self.log.last_index();
         let progress = self.progress_entry(from);
         progress.in_flight = false;
+        progress.heard_at = now;
         if reply.ok {
             progress.matched = progress.matched.max(reply.index.min(last));
             progress.next = progress.next.max(progress.matched + 1);
@@ -209,6 +210,7 @@
         let base = self.log.base_index();
         let progress = self.progress_entry(from);
         progress.in_flight = false;
+        progress.heard_at = now;
         if reply.done {
             progress.matched = progress.matched.max(reply.last_index);
             progress.next = progress.next.max(progress.matched + 1);
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -6,7 +6,7 @@
     pub call: u64,
     #[prost(
         oneof = "envelope::Body",
-        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52"
+        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52, 53, 54, 55, 56"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -63,6 +63,14 @@
         Join(super::Join),
         #[prost(message, tag = "52")]
         JoinReply(super::JoinReply),
+        #[prost(message, tag = "53")]
+        Subscribe(super::Subscribe),
+        #[prost(message, tag = "54")]
+        News(super::News),
+        #[prost(message, tag = "55")]
+        Announcement(super::Announcement),
+        #[prost(message, tag = "56")]
+        SharedLoad(super::SharedLoad),
     }
 }
 /// First frame in each direction: protocol version and who speaks.
@@ -467,7 +475,7 @@
     /// Answers of a resent operation are the first ones.
     #[prost(string, tag = "2")]
     pub operation: ::prost::alloc::string::String,
-    #[prost(oneof = "command::Kind", tags = "10, 11, 12, 13, 14, 15, 16, 17")]
+    #[prost(oneof = "command::Kind", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18")]
     pub kind: ::core::option::Option<command::Kind>,
 }
 /// Nested message and enum types in `Command`.
@@ -490,6 +498,8 @@
         Members(super::Members),
         #[prost(message, tag = "17")]
         Noop(super::Noop),
+        #[prost(message, tag = "18")]
+        Document(super::Document),
     }
 }
 /// An empty command that a new leader commits first.
@@ -779,6 +789,8 @@
     pub operations: ::prost::alloc::vec::Vec<OperationState>,
     #[prost(message, repeated, tag = "10")]
     pub burn: ::prost::alloc::vec::Vec<BurnCount>,
+    #[prost(message, optional, tag = "11")]
+    pub document: ::core::option::Option<Document>,
 }
 /// A claim and how it ended.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -819,3 +831,139 @@
     #[prost(string, tag = "3")]
     pub leader: ::prost::alloc::string::String,
 }
+/// A configuration document; of several the one with the highest version is in force.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Document {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: ::prost::bytes::Bytes,
+}
+/// What an endpoint last said of itself.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Announcement {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    #[prost(enumeration = "Standing", tag = "6")]
+    pub standing: i32,
+    /// Wall time of the endpoint's start in milliseconds; a later start supersedes an earlier one.
+    #[prost(uint64, tag = "7")]
+    pub born: u64,
+    /// Number of the announcement within one start.
+    #[prost(uint64, tag = "8")]
+    pub seq: u64,
+}
+/// Asks a control replica for news on this call.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Subscribe {
+    #[prost(string, tag = "1")]
+    pub node: ::prost::alloc::string::String,
+    /// Address at which the subscriber takes the load of others; empty if it takes none.
+    #[prost(string, tag = "2")]
+    pub load_address: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub document_version: u64,
+}
+/// What changed since the last news of a call.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct News {
+    #[prost(message, optional, tag = "1")]
+    pub document: ::core::option::Option<Document>,
+    #[prost(message, repeated, tag = "2")]
+    pub announcements: ::prost::alloc::vec::Vec<Announcement>,
+    /// Whether `announcements` are all that are known.
+    #[prost(bool, tag = "3")]
+    pub full: bool,
+    /// All load addresses of subscribers, when they changed.
+    #[prost(string, repeated, tag = "4")]
+    pub load_addresses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(bool, tag = "5")]
+    pub load_addresses_changed: bool,
+    /// Addresses of all control replicas, when they changed.
+    #[prost(string, repeated, tag = "6")]
+    pub control_addresses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// All that one entry has under way at endpoints, sent to the other entries.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SharedLoad {
+    #[prost(string, tag = "1")]
+    pub node: ::prost::alloc::string::String,
+    /// Number of the entry's start, and of the message within it.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub seq: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub flights: ::prost::alloc::vec::Vec<Flight>,
+}
+/// One send that is under way at an endpoint.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Flight {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub prompt_tokens: u32,
+    #[prost(uint32, tag = "3")]
+    pub output_tokens: u32,
+    /// Tokens that this endpoint reads; less than the prompt where helpers share the reading.
+    #[prost(uint32, tag = "4")]
+    pub read_tokens: u32,
+    /// Milliseconds of reading, the pairs included.
+    #[prost(uint32, tag = "5")]
+    pub read_ms: u32,
+    #[prost(uint32, tag = "6")]
+    pub age_ms: u32,
+    /// Tokens written so far; 0 while the prompt is read.
+    #[prost(uint32, tag = "7")]
+    pub written_tokens: u32,
+    #[prost(uint32, tag = "8")]
+    pub pause_limit_ms: u32,
+    /// Memory that is held at the endpoint, in tokens.
+    #[prost(uint32, tag = "9")]
+    pub held_tokens: u32,
+    /// Whether the endpoint only reads a part of the prompt for another one.
+    #[prost(bool, tag = "10")]
+    pub helps: bool,
+}
+/// How an endpoint stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Standing {
+    Ready = 0,
+    Draining = 1,
+    Gone = 2,
+    /// Was not heard for longer than it should be silent.
+    Silent = 3,
+}
+impl Standing {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Ready => "READY",
+            Self::Draining => "DRAINING",
+            Self::Gone => "GONE",
+            Self::Silent => "SILENT",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "READY" => Some(Self::Ready),
+            "DRAINING" => Some(Self::Draining),
+            "GONE" => Some(Self::Gone),
+            "SILENT" => Some(Self::Silent),
+            _ => None,
+        }
+    }
+}
