--- a/src/events.rs
+++ b/src/events.rs
@@ -73,7 +73,7 @@
     OrderRefused = 512, Warning, "order refused by the fencing gate";
     OrphanCancelled = 520, Warning, "engine held a request unknown to the ledger, cancelled";
     ReleaseOverdue = 521, Warning, "engine has not confirmed a release in time";
-    RequestRefused = 600, Debug, "request refused";
+    RequestRefused = 600, Info, "request refused";
     RequestFailed = 601, Warning, "request failed";
     AttemptRetried = 602, Info, "attempt retried";
     OutcomeUnknown = 603, Warning, "booking ended with unknown outcome";
@@ -82,6 +82,8 @@
     RequestRejected = 606, Info, "request rejected";
     StreamDone = 607, Info, "stream ended";
     StreamBroken = 608, Warning, "stream broke off";
+    MemoryReserved = 609, Info, "memory reserved at several engines";
+    RequestPlaced = 613, Info, "request placed";
     ControlHeard = 610, Info, "control replica heard";
     ControlLost = 611, Warning, "control replica lost";
     SettingsReloaded = 612, Info, "settings read anew";
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -65,6 +65,11 @@
         bucket.tokens = (bucket.tokens + ratio).min(most);
     }
 
+    /// Whether a repeated send is left.
+    pub fn has(&mut self, now: Moment, service: &str, entries: usize) -> bool {
+        self.fill(now, service, entries).tokens >= 1.0
+    }
+
     /// Takes one repeated send; false if none is left.
     pub fn take(&mut self, now: Moment, service: &str, entries: usize) -> bool {
         let bucket = self.fill(now, service, entries);
--- a/src/gateway/engine_model.rs
+++ b/src/gateway/engine_model.rs
@@ -77,6 +77,11 @@
         if tokens as f64 <= per_pass { read_ms } else { read_ms * per_pass / tokens as f64 }
     }
 
+    /// Longest reading in one pass with writers, pairs left out.
+    pub fn most_pass_read_ms(&self) -> f64 {
+        f64::from(self.chunk) * f64::from(self.stride) / self.read_tokens_per_ms
+    }
+
     /// Passes that reading so many tokens takes beside writers.
     pub fn passes(&self, tokens: u64) -> f64 {
         let per_pass = f64::from(self.chunk) * f64::from(self.stride);
--- a/src/gateway/flights.rs
+++ b/src/gateway/flights.rs
@@ -41,6 +41,8 @@
     pub held_tokens: u64,
     /// Whether the endpoint only reads a part of the prompt for another one.
     pub helps: bool,
+    /// Whether it is late already, and so waits for others.
+    pub late: bool,
 }
 
 struct Remote {
@@ -125,6 +127,7 @@
         pause_limit_ms: f.pause_limit_ms as u32,
         held_tokens: f.held_tokens as u32,
         helps: f.helps,
+        late: f.late,
     }
 }
 
@@ -140,5 +143,6 @@
         pause_limit_ms: f64::from(f.pause_limit_ms),
         held_tokens: u64::from(f.held_tokens),
         helps: f.helps,
+        late: f.late,
     }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -16,8 +16,9 @@
 use super::config::{GatewayConfig, Repeat, Route, Service};
 use super::dialect::{CallerRequest, SendOptions};
 use super::flights::Flight;
-use super::placement::{self, Ask, Decision, EngineState};
+use super::placement::{self, Ask, Decision, EngineState, Plan};
 use super::relay;
+use super::reservation::Reservation;
 use super::send::{Answer, Outgoing, Sent, describe, send};
 use super::state::{Endpoint, FlightGuard, Gateway};
 use crate::clock::boot_now;
@@ -36,6 +37,15 @@
 /// Part of the caller's time that a `Retry-After` may name; callers honour a third.
 const RETRY_AFTER_SHARE: f64 = 0.3;
 
+/// Rank at engines of what is most urgent and in time.
+const FIRST_RANK: u8 = 1;
+
+/// Ranks that priorities are told apart by.
+const MOST_URGENT_RANKS: u32 = 5;
+
+/// Rank at engines of what is late.
+const LATE_RANK: u8 = 8;
+
 /// Longest silence of a plain service before an idempotent request goes elsewhere.
 const PLAIN_SILENCE: Duration = Duration::from_millis(900);
 
@@ -57,6 +67,8 @@
     pub body: Bytes,
     /// Workspace.
     pub workspace: Option<WorkspaceName>,
+    /// Rank of the workspace or route; 0 is the most urgent.
+    pub priority: u32,
     /// When it was taken.
     pub started: Moment,
     /// When it has to be answered.
@@ -75,8 +87,12 @@
     pub endpoint: Endpoint,
     /// Addresses of engines that share the reading.
     pub helpers: Vec<(String, Option<SmolStr>)>,
+    /// Whether it is late already, and so waits for others at the engine.
+    pub late: bool,
     /// Predicted time to the first token, for engines.
     pub predicted: Option<Duration>,
+    /// Memory held at the helpers.
+    pub reservation: Option<Reservation>,
     /// When it was placed.
     pub placed_at: Moment,
     /// Sends that it adds to the load.
@@ -115,6 +131,9 @@
     caller: CallerRequest,
 ) -> Result<Task, Response<AnswerBody>> {
     let started = boot_now();
+    if gateway.closing.is_cancelled() {
+        return Err(refuse(gateway, &caller.id, "this process is ending", retry_soon(&caller)));
+    }
     let Some(config) = gateway.config.load_full() else {
         return Err(refuse(gateway, &caller.id, "no configuration yet", retry_soon(&caller)));
     };
@@ -129,13 +148,14 @@
                 let status = StatusCode::UNAUTHORIZED;
                 return Err(reject(gateway, &caller, status, "unknown key", &config));
             };
-            Some(found.name.clone())
+            Some(Arc::clone(found))
         }
         _ => None,
     };
     let Some(service) = choose_service(&config, &route) else {
         return Err(refuse(gateway, &caller.id, "no service", retry_soon(&caller)));
     };
+    let priority = workspace.as_ref().and_then(|w| w.priority).unwrap_or(route.priority);
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
     let limits = &config.limits;
     let whole = timeout(patience, Limited::new(body, limits.body_bytes).collect()).await;
@@ -160,7 +180,8 @@
         caller,
         head,
         body,
-        workspace,
+        priority,
+        workspace: workspace.map(|w| w.name.clone()),
         started,
         deadline: started + patience,
         sends: 0,
@@ -191,7 +212,7 @@
         if boot_now() >= task.deadline {
             return failed.unwrap_or_else(|| task.give_up("deadline passed"));
         }
-        let placed = match task.choose() {
+        let placed = match task.choose().await {
             Choice::Placed(placed) => *placed,
             Choice::Nowhere => {
                 let waited = boot_now().saturating_sub(task.started);
@@ -251,30 +272,50 @@
         self.deadline.saturating_sub(boot_now())
     }
 
+    /// Whether a stream that began then, with such a pause, is late.
+    pub fn is_late(&self, first_at: Option<Moment>, longest_pause: Duration) -> bool {
+        let limit = self.route.pause_limit;
+        let waited = first_at.map(|at| at.saturating_sub(self.started));
+        let paused = !limit.is_zero() && longest_pause > limit;
+        paused || waited.is_some_and(|w| w > self.route.objective)
+    }
+
     fn streams(&self, answer: &Answer) -> bool {
         self.route.streams && answer.parts.status.is_success()
     }
 
     /// Chooses where the request goes next.
-    pub fn choose_next(&mut self) -> Option<Placed> {
-        match self.choose() {
+    pub async fn choose_next(&self) -> Option<Placed> {
+        match self.choose().await {
             Choice::Placed(placed) => Some(*placed),
             Choice::Nowhere | Choice::Refused(..) => None,
         }
     }
 
-    fn choose(&mut self) -> Choice {
-        let now = boot_now();
+    /// Endpoints that were not tried yet and can be reached.
+    fn candidates(&self, now: Moment) -> Vec<Endpoint> {
         let listed = self.gateway.endpoints.lock().of(&self.service.name);
         let health = self.gateway.health.lock();
         let usable = |e: &&Endpoint| !self.tried.contains(&e.id) && health.allows(now, &e.id);
-        let candidates: Vec<Endpoint> = listed.iter().filter(usable).cloned().collect();
-        drop(health);
+        listed.iter().filter(usable).cloned().collect()
+    }
+
+    /// Whether a stream may be moved to another endpoint now.
+    pub fn may_move(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+            && self.sends < self.route.max_attempts
+            && !self.candidates(boot_now()).is_empty()
+            && self.gateway.has_retry(&self.service.name)
+    }
+
+    async fn choose(&self) -> Choice {
+        let now = boot_now();
+        let candidates = self.candidates(now);
         if candidates.is_empty() {
             return Choice::Nowhere;
         }
         match (self.service.engine.is_some(), self.caller.tokens) {
-            (true, Some(_)) => self.choose_engine(now, candidates),
+            (true, Some(_)) => self.choose_engine(now, candidates).await,
             _ => self.choose_plain(now, candidates),
         }
     }
@@ -300,12 +341,18 @@
         let endpoint = candidates[at].clone();
         let flight = Flight { endpoint: endpoint.id.clone(), sent_at: now, ..Flight::default() };
         let flights = self.gateway.start_flights(vec![flight]);
-        let helpers = Vec::new();
-        let placed = Placed { endpoint, helpers, predicted: None, placed_at: now, flights };
-        Choice::Placed(Box::new(placed))
+        Choice::Placed(Box::new(Placed {
+            endpoint,
+            helpers: Vec::new(),
+            late: false,
+            predicted: None,
+            reservation: None,
+            placed_at: now,
+            flights,
+        }))
     }
 
-    fn choose_engine(&self, now: Moment, candidates: Vec<Endpoint>) -> Choice {
+    async fn choose_engine(&self, now: Moment, candidates: Vec<Endpoint>) -> Choice {
         let (Some(model), Some(tokens)) = (&self.service.engine, self.caller.tokens) else {
             return Choice::Nowhere;
         };
@@ -314,44 +361,82 @@
         let ask = Ask {
             prompt: tokens.prompt,
             output: tokens.output,
-            objective_ms: (objective - waited).max(objective * 0.2),
+            objective_ms: (objective - waited).max(1.0),
             pause_limit_ms: self.route.pause_limit.as_secs_f64() * 1000.0,
             left_ms: self.left().as_secs_f64() * 1000.0,
         };
         let engines = self.engine_states(now, &candidates);
-        let plan = match placement::decide(model, &engines, &ask) {
-            Decision::Send(plan) => plan,
+        match placement::decide(model, &engines, &ask) {
+            Decision::Send(plan) => {
+                self.log_placed(&engines[plan.first], &ask, &plan);
+                self.place(now, &candidates, &ask, plan).await
+            }
             Decision::Refuse { free_in_ms } => {
                 let after = Duration::from_secs_f64(free_in_ms.max(100.0) / 1000.0);
-                return Choice::Refused(after, "no engine can serve it in time");
+                Choice::Refused(after, "no engine can serve it in time")
             }
             Decision::TooLarge => {
-                return Choice::Refused(Duration::from_secs(1), "no engine has the memory free");
+                Choice::Refused(Duration::from_secs(1), "the engines' memory is not free")
             }
-        };
+        }
+    }
+
+    /// Logs where a request goes, and what decided it.
+    fn log_placed(&self, engine: &EngineState, ask: &Ask, plan: &Plan) {
+        event!(self.gateway.log, RequestPlaced, "request" => self.caller.id.as_str(),
+            "endpoint" => engine.id.as_str(), "prompt" => ask.prompt,
+            "helpers" => plan.helpers.len(), "predicted_ms" => plan.first_token_ms as u64,
+            "read_ms" => plan.part_ms as u64, "backlog_ms" => engine.backlog_ms as u64,
+            "writers" => engine.writers.len(), "flights" => engine.flights,
+            "memory_used" => engine.memory_used, "slowness" => engine.slowness,
+            "failing" => engine.failing, "objective_ms" => ask.objective_ms as u64);
+    }
+
+    /// Notes the sends of a plan and reserves the memory that it needs at helpers.
+    async fn place(&self, now: Moment, candidates: &[Endpoint], ask: &Ask, plan: Plan) -> Choice {
+        let need = ask.prompt + ask.output;
+        let at_helpers: u64 = plan.helpers.iter().map(|h| h.held_tokens).sum();
         let width = (plan.helpers.len() + 1) as u64;
-        let read_tokens = ask.prompt / width;
-        let flight = |at: usize, helps: bool| Flight {
+        let flight = |at: usize, helps: bool, held_tokens: u64| Flight {
             endpoint: candidates[at].id.clone(),
             prompt: ask.prompt,
             output: ask.output,
-            read_tokens,
+            read_tokens: ask.prompt / width,
             read_ms: plan.part_ms,
             sent_at: now,
             written: 0,
             pause_limit_ms: ask.pause_limit_ms,
-            held_tokens: if helps { 0 } else { ask.prompt + ask.output },
+            held_tokens,
             helps,
+            late: plan.late,
         };
-        let mut flights = vec![flight(plan.first, false)];
-        flights.extend(plan.helpers.iter().map(|at| flight(*at, true)));
-        let helpers = plan.helpers.iter().map(|at| (candidates[*at].addr.to_string(), None));
+        let mut flights = vec![flight(plan.first, false, need.saturating_sub(at_helpers))];
+        flights.extend(plan.helpers.iter().map(|h| flight(h.at, true, h.held_tokens)));
+        let flights = self.gateway.start_flights(flights);
+        let wanted = plan.helpers.iter().filter(|h| h.held_tokens > 0);
+        let wanted: Vec<(Endpoint, u64)> =
+            wanted.map(|h| (candidates[h.at].clone(), h.held_tokens)).collect();
+        let reservation = if wanted.is_empty() {
+            None
+        } else {
+            let made = Reservation::make(&self.gateway, &self.caller.id, wanted).await;
+            let Some(made) = made else {
+                let after = Duration::from_millis(400);
+                return Choice::Refused(after, "the engines' memory is not free");
+            };
+            Some(made)
+        };
+        let mut helpers = reservation.as_ref().map(Reservation::helpers).unwrap_or_default();
+        let readers = plan.helpers.iter().filter(|h| h.held_tokens == 0);
+        helpers.extend(readers.map(|h| (candidates[h.at].addr.to_string(), None)));
         Choice::Placed(Box::new(Placed {
             endpoint: candidates[plan.first].clone(),
-            helpers: helpers.collect(),
+            helpers,
+            late: plan.late,
             predicted: Some(Duration::from_secs_f64(plan.first_token_ms / 1000.0)),
+            reservation,
             placed_at: now,
-            flights: self.gateway.start_flights(flights),
+            flights,
         }))
     }
 
@@ -383,7 +468,7 @@
             workspace: self.workspace.clone(),
             last_event,
             helpers: placed.helpers.clone(),
-            rank: None,
+            rank: self.rank(placed),
         };
         Outgoing {
             method: self.head.method.clone(),
@@ -393,6 +478,13 @@
         }
     }
 
+    /// Rank at the engine: that of the workspace or route, behind it what is late.
+    fn rank(&self, placed: &Placed) -> Option<u8> {
+        placed.predicted?;
+        let priority = self.priority.min(MOST_URGENT_RANKS) as u8;
+        Some(if placed.late { LATE_RANK } else { FIRST_RANK + priority })
+    }
+
     /// Longest wait for the head of an answer; only what may run again is given up early.
     pub fn head_limit(&self, placed: &Placed) -> Duration {
         let left = self.left();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod placement;
 pub mod pool;
 pub mod relay;
+pub mod reservation;
 pub mod run;
 pub mod send;
 pub mod share;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -9,7 +9,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
@@ -20,6 +20,13 @@
 /// Unacknowledged bytes count as lost after this time.
 const UNACKED_LIMIT: Duration = Duration::from_millis(1000);
 
+/// Silence of a connection after which the other side is probed, and between probes; a long
+/// reading keeps an engine silent too, so silence alone says nothing.
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which the connection counts as lost.
+const PROBES: u32 = 2;
+
 /// Time that an idle connection is kept when the endpoint names none.
 const IDLE: Duration = Duration::from_secs(4);
 
@@ -73,7 +80,13 @@
     pub async fn connect(&self, addr: SocketAddr) -> std::io::Result<Connection> {
         let stream = timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_LIMIT))?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(UNACKED_LIMIT))?;
+        let probes = TcpKeepalive::new()
+            .with_time(PROBE_PAUSE)
+            .with_interval(PROBE_PAUSE)
+            .with_retries(PROBES);
+        socket.set_tcp_keepalive(&probes)?;
         let handshake = Builder::new().max_buf_size(64 * 1024).handshake(TokioIo::new(stream));
         let (sender, conn) = handshake.await.map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use super::config::Repeat;
 use super::events::{EventSplitter, StreamEvent};
 use super::handler::{AnswerBody, Placed, Task};
+use super::reservation::Reservation;
 use super::send::{Answer, Sent, describe, send};
 use super::state::{Endpoint, FlightGuard};
 use crate::clock::boot_now;
@@ -21,10 +22,10 @@
 const QUEUE: usize = 8;
 
 /// Shortest silence inside a stream after which it is resumed elsewhere.
-const LEAST_SILENCE: Duration = Duration::from_millis(1200);
+const LEAST_SILENCE: Duration = Duration::from_millis(1700);
 
 /// Silence inside a stream, in longest pauses, after which it is resumed elsewhere.
-const SILENT_PAUSES: u32 = 4;
+const SILENT_PAUSES: u32 = 6;
 
 type EventSender = mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>;
 
@@ -45,6 +46,7 @@
     answer: Answer,
     endpoint: Endpoint,
     flights: FlightGuard,
+    reservation: Option<Reservation>,
     predicted: Option<Duration>,
     sent_at: Duration,
 }
@@ -54,6 +56,20 @@
     last_event: Option<u64>,
     events: u64,
     first_at: Option<Duration>,
+    newest_at: Duration,
+    longest_pause: Duration,
+}
+
+impl Progress {
+    fn note_event(&mut self) {
+        let now = boot_now();
+        if self.events > 0 {
+            let pause = now.saturating_sub(self.newest_at);
+            self.longest_pause = self.longest_pause.max(pause);
+        }
+        self.newest_at = now;
+        self.events += 1;
+    }
 }
 
 /// Starts to pass a stream on; returns the head of the caller's answer.
@@ -73,12 +89,18 @@
 }
 
 fn build_part(placed: Placed, answer: Answer) -> Part {
-    let Placed { endpoint, predicted, flights, placed_at, .. } = placed;
-    Part { answer, endpoint, flights, predicted, sent_at: placed_at }
+    let Placed { endpoint, predicted, flights, placed_at, reservation, .. } = placed;
+    Part { answer, endpoint, flights, reservation, predicted, sent_at: placed_at }
 }
 
 async fn run(mut task: Task, part: Part, tx: EventSender) {
-    let mut progress = Progress { last_event: task.caller.last_event, events: 0, first_at: None };
+    let mut progress = Progress {
+        last_event: task.caller.last_event,
+        events: 0,
+        first_at: None,
+        newest_at: Duration::ZERO,
+        longest_pause: Duration::ZERO,
+    };
     let mut next = Some(part);
     let mut ended = "complete";
     while let Some(part) = next.take() {
@@ -90,7 +112,11 @@
                 ended = "caller left";
                 break;
             }
-            PartEnd::TimeUp => "time is up".to_owned(),
+            PartEnd::TimeUp => {
+                ended = "time is up";
+                let _ = tx.send(Err(std::io::Error::other(ended))).await;
+                break;
+            }
             PartEnd::Broken(reason) => reason,
         };
         task.gateway.health.lock().failed(boot_now(), &endpoint.id);
@@ -108,6 +134,7 @@
     event!(task.gateway.log, StreamDone, "request" => task.caller.id.as_str(),
         "route" => task.route.name.as_str(), "ended" => ended, "events" => progress.events,
         "first_ms" => first.as_millis() as u64, "sends" => task.sends,
+        "longest_pause_ms" => progress.longest_pause.as_millis() as u64,
         "ms" => boot_now().saturating_sub(task.started).as_millis() as u64);
 }
 
@@ -119,7 +146,7 @@
     reason: &str,
 ) -> Option<Part> {
     while !tx.is_closed() && task.route.repeat == Repeat::Idempotent && task.may_send_again() {
-        let placed = task.choose_next()?;
+        let placed = task.choose_next().await?;
         event!(task.gateway.log, AttemptRetried, "request" => task.caller.id.as_str(),
             "endpoint" => placed.endpoint.id.as_str(), "reason" => reason,
             "sends" => task.sends, "after_event" => progress.last_event);
@@ -142,15 +169,15 @@
 
 /// Passes the events of one engine on until they end.
 async fn pass_part(task: &Task, part: Part, tx: &EventSender, progress: &mut Progress) -> PartEnd {
-    let Part { answer, endpoint, flights, predicted, sent_at } = part;
+    let Part { answer, endpoint, flights, reservation, predicted, sent_at } = part;
     let Answer { head, mut body, conn, .. } = answer;
     let mut splitter = EventSplitter::default();
     let silence = (task.route.pause_limit * SILENT_PAUSES).max(LEAST_SILENCE);
-    let may_resume = task.route.repeat == Repeat::Idempotent;
     let mut first = true;
+    let mut waits_on = false;
     loop {
         let left = task.left();
-        let limit = if may_resume && !first { left.min(silence) } else { left };
+        let limit = if first || waits_on { left } else { left.min(silence) };
         let frame = tokio::select! {
             biased;
             () = tx.closed() => return PartEnd::CallerLeft,
@@ -158,7 +185,11 @@
         };
         let data = match frame {
             Err(_) if task.left().is_zero() => return PartEnd::TimeUp,
-            Err(_) => return PartEnd::Broken("silent".into()),
+            Err(_) if task.may_move() => return PartEnd::Broken("silent".into()),
+            Err(_) => {
+                waits_on = true;
+                continue;
+            }
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(Some(Err(e))) => return PartEnd::Broken(describe(&e)),
             Ok(None) if splitter.has_rest() => return PartEnd::Broken("event cut off".into()),
@@ -170,12 +201,17 @@
                 first = false;
                 note_first(task, &endpoint, predicted, sent_at, progress);
             }
+            if task.is_late(progress.first_at, progress.longest_pause) {
+                flights.mark_late();
+            }
+            waits_on = false;
             flights.wrote(task.service.engine.as_ref().map_or(1, |m| u64::from(m.stride)));
             if !pass_event(tx, event, progress).await {
                 return PartEnd::CallerLeft;
             }
         }
     }
+    drop(reservation);
     give_back(task, head.closes, head.keep_alive, conn, body);
     PartEnd::Complete
 }
@@ -202,7 +238,7 @@
     if event.id.is_some() {
         progress.last_event = event.id;
     }
-    progress.events += 1;
+    progress.note_event();
     tx.send(Ok(Frame::data(event.data))).await.is_ok()
 }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -30,10 +30,10 @@
 const LEAST_HEAD: usize = 8192;
 
 /// Time of a stop in which connections stay open, so that callers learn of it by an answer.
-const ANNOUNCE: Duration = Duration::from_millis(3500);
+const ANNOUNCE: Duration = Duration::from_millis(2600);
 
 /// Part of the time for a stop that is kept to end the process.
-const END_MARGIN: Duration = Duration::from_millis(400);
+const END_MARGIN: Duration = Duration::from_millis(250);
 
 /// Addresses of a gateway, and its time to stop.
 #[derive(Clone)]
@@ -72,8 +72,7 @@
     tokio::spawn(share::hear(Arc::clone(&gateway), socket, cx.clone()));
     tokio::spawn(sweep(Arc::clone(&gateway), cx.clone()));
     tokio::spawn(serve_ready(ready, Arc::clone(&gateway)));
-    let close = CancellationToken::new();
-    let serving = tokio::spawn(serve_callers(callers, Arc::clone(&gateway), close.clone()));
+    let serving = tokio::spawn(serve_callers(callers, Arc::clone(&gateway)));
     event!(gateway.log, ProcessStarted, "address" => addresses.callers.to_string());
     signals.next().await;
     let under_way = gateway.flights.lock().own_count();
@@ -81,7 +80,7 @@
     gateway.stopping.cancel();
     let started = boot_now();
     sleep(ANNOUNCE.min(addresses.grace / 2)).await;
-    close.cancel();
+    gateway.closing.cancel();
     let passed = boot_now().saturating_sub(started);
     let left = addresses.grace.saturating_sub(passed + END_MARGIN);
     if timeout(left, serving).await.is_err() {
@@ -104,11 +103,11 @@
 }
 
 /// Accepts callers until told to close, then lets open requests end.
-async fn serve_callers(listener: TcpListener, gateway: Arc<Gateway>, close: CancellationToken) {
+async fn serve_callers(listener: TcpListener, gateway: Arc<Gateway>) {
     let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
-            () = close.cancelled() => break,
+            () = gateway.closing.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -171,6 +171,8 @@
     pub load_changed: Notify,
     /// Cancelled once this process is told to end.
     pub stopping: CancellationToken,
+    /// Cancelled once a process that ends takes no new requests.
+    pub closing: CancellationToken,
     /// Log.
     pub log: Logger,
 }
@@ -190,6 +192,7 @@
             pool: Pool::default(),
             load_changed: Notify::new(),
             stopping: CancellationToken::new(),
+            closing: CancellationToken::new(),
             log,
         }
     }
@@ -225,6 +228,12 @@
         FlightGuard { gateway: Arc::clone(self), keys }
     }
 
+    /// Whether the budget of a service has a repeated send left.
+    pub fn has_retry(&self, service: &str) -> bool {
+        let entries = self.flights.lock().entries();
+        self.budget.lock().has(boot_now(), service, entries)
+    }
+
     /// Takes one repeated send from the budget of a service.
     pub fn take_retry(&self, service: &str) -> bool {
         let entries = self.flights.lock().entries();
@@ -239,6 +248,17 @@
 }
 
 impl FlightGuard {
+    /// Notes that a stream is late already, so that nothing more is lost by its waiting.
+    pub fn mark_late(&self) {
+        let mut flights = self.gateway.flights.lock();
+        let first = self.keys.first().and_then(|key| flights.get_mut(*key));
+        let turns = first.is_some_and(|f| !std::mem::replace(&mut f.late, true));
+        drop(flights);
+        if turns {
+            self.gateway.load_changed.notify_one();
+        }
+    }
+
     /// Notes that a stream wrote so many more tokens.
     pub fn wrote(&self, tokens: u64) {
         let mut flights = self.gateway.flights.lock();
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -932,6 +932,9 @@
     /// Whether the endpoint only reads a part of the prompt for another one.
     #[prost(bool, tag = "10")]
     pub helps: bool,
+    /// Whether it is late already, and so waits for others.
+    #[prost(bool, tag = "11")]
+    pub late: bool,
 }
 /// How an endpoint stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
