Prove the platform face end to end; hurry the first election; spread equal servers

Cause: after a loss of power entries had no configuration for 1.2 s longer than needed, since a replica that starts waited a whole election timeout. Sequential calls all met the first of equal servers. Tests: tests/platform plays callers, servers, operator and failures on real processes.

--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -34,6 +34,9 @@
 /// Pause before a data folder that could not be opened is tried again.
 const OPEN_PAUSE: Duration = Duration::from_millis(300);
 
+/// Longest wait of a replica that starts before it asks for votes.
+const FIRST_WAIT: Duration = Duration::from_millis(250);
+
 /// Longest wait for the core's answer to a call from outside.
 const CALL_LIMIT: Duration = Duration::from_millis(1500);
 
@@ -282,6 +285,7 @@
         election_timeout: Duration::from_millis(600),
         heartbeat: Duration::from_millis(120),
         voters: Some(2 * cfg.tolerance + 1),
+        first_wait: Some(FIRST_WAIT),
         ..RaftConfig::default()
     };
     let raft = Raft::new(own.id, raft_cfg, rand::random(), boot_now(), opened.found);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -46,6 +46,9 @@
 /// Rank at engines of what is late.
 const LATE_RANK: u8 = 8;
 
+/// Largest difference of costs that counts as equal.
+const TIE: f64 = 0.01;
+
 /// Longest silence of a plain service before an idempotent request goes elsewhere.
 const PLAIN_SILENCE: Duration = Duration::from_millis(900);
 
@@ -329,13 +332,17 @@
             }
         }
         let health = self.gateway.health.lock();
+        let mut rng = rand::rng();
         let cost = |at: usize| {
             let e = &candidates[at];
             let (failing, slowness) = health.view(now, &e.id);
             let elsewhere = if e.zone == self.gateway.cfg.zone { 0.0 } else { 0.05 };
             (under_way[at] + 0.2) * slowness / f64::from(e.slots.max(1)) + failing + elsewhere
         };
-        let best = (0..candidates.len()).min_by(|a, b| cost(*a).total_cmp(&cost(*b)));
+        // Equal endpoints take turns by chance.
+        let costs: Vec<f64> =
+            (0..candidates.len()).map(|at| cost(at) + rng.random_range(0.0..TIE)).collect();
+        let best = (0..candidates.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]));
         let Some(at) = best else { return Choice::Nowhere };
         drop(health);
         let endpoint = candidates[at].clone();
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -34,6 +34,9 @@
     /// Voters beyond which a learner that caught up has to replace a silent voter; any number
     /// when absent.
     pub voters: Option<usize>,
+    /// Longest wait of a replica that starts before it asks for votes; the election timeout when
+    /// absent. Reads that rely on a lease instead of a round need it absent.
+    pub first_wait: Option<Duration>,
     /// Silence after which a waiting learner replaces a voter.
     pub replace_after: Duration,
 }
@@ -46,6 +49,7 @@
             batch: 512,
             chunk: 256 * 1024,
             voters: None,
+            first_wait: None,
             replace_after: Duration::from_secs(2),
         }
     }
@@ -157,6 +161,7 @@
             effects: Vec::new(),
         };
         raft.reset_deadline(now);
+        raft.hurry_first_election(now);
         raft
     }
 
@@ -294,6 +299,13 @@
         self.voters().len() / 2 + 1
     }
 
+    fn hurry_first_election(&mut self, now: Moment) {
+        let Some(longest) = self.cfg.first_wait else { return };
+        self.heard_at = now.saturating_sub(self.cfg.election_timeout);
+        let wait = self.rng.random_range(0..=longest.as_millis() as u64);
+        self.deadline = now + Duration::from_millis(wait);
+    }
+
     fn reset_deadline(&mut self, now: Moment) {
         let base = self.cfg.election_timeout;
         let spread = self.rng.random_range(0..=base.as_millis() as u64);
--- /dev/null
+++ b/tests/platform/world.rs
@@ -0,0 +1,353 @@
+//! A stand-in of the users' platform: hosts on loopback, settings files, operator and callers.
+
+use std::collections::HashMap;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+
+/// Time within which a condition has to hold on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Key of the test's workspace, and the workspace's name.
+pub const KEY: &str = "key-of-the-workspace";
+pub const WORKSPACE: &str = "moving-house";
+
+const CALLERS_PORT: u16 = 8227;
+const READY_PORT: u16 = 8220;
+const OPERATORS_PORT: u16 = 8229;
+const FIRST_PORT: u16 = 7340;
+
+static NEXT_WORLD: AtomicU8 = AtomicU8::new(1);
+static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
+
+/// One process of the system.
+pub struct Process {
+    child: Child,
+    role: &'static str,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+impl Process {
+    fn start(role: &'static str, settings: PathBuf, log: PathBuf) -> Self {
+        let out = std::fs::File::options().create(true).append(true).open(&log).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_bitternlead"))
+            .args(["platform", role])
+            .env("BITTERNLEAD_SETTINGS", &settings)
+            .env("RUST_BACKTRACE", "1")
+            .stderr(out.try_clone().unwrap())
+            .stdout(out)
+            .stdin(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self { child, role, settings, log }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn restart(&mut self) {
+        self.kill();
+        *self = Self::start(self.role, self.settings.clone(), self.log.clone());
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
+    /// Log lines of this process about one request or with one event number.
+    pub fn log_lines(&self, wanted: &str) -> Vec<Value> {
+        let mut text = String::new();
+        std::fs::File::open(&self.log).unwrap().read_to_string(&mut text).unwrap();
+        let lines = text.lines().filter(|l| l.contains(wanted));
+        lines.filter_map(|l| serde_json::from_str(l).ok()).collect()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A small installation.
+pub struct World {
+    pub dir: TempDir,
+    pub controls: Vec<Process>,
+    pub entries: Vec<Process>,
+    net: u8,
+    version: u64,
+}
+
+impl World {
+    /// Starts control replicas and entries, and waits until a document is acknowledged.
+    pub async fn start(controls: usize, entries: usize) -> Self {
+        let dir = tempfile::tempdir().unwrap();
+        let net = NEXT_WORLD.fetch_add(1, Ordering::Relaxed);
+        let mut world = Self { dir, controls: vec![], entries: vec![], net, version: 0 };
+        for at in 0..controls {
+            let settings = world.write_settings("control", at, true, controls);
+            let log = world.dir.path().join(format!("control-{at}.log"));
+            world.controls.push(Process::start("control", settings, log));
+        }
+        for at in 0..entries {
+            let settings = world.write_settings("entry", 10 + at, true, controls);
+            let log = world.dir.path().join(format!("entry-{at}.log"));
+            world.entries.push(Process::start("entry", settings, log));
+        }
+        world
+    }
+
+    fn ip(&self, host: usize) -> String {
+        let process = std::process::id();
+        format!(
+            "127.{}.{}.{}",
+            64 + process % 128,
+            (process / 128 + u32::from(self.net)) % 256,
+            host + 1
+        )
+    }
+
+    /// An address of a host that the system does not run on.
+    pub fn server_address(&self, host: usize) -> SocketAddr {
+        format!("{}:8080", self.ip(100 + host)).parse().unwrap()
+    }
+
+    /// Writes the settings of a process as the platform does.
+    pub fn write_settings(&self, role: &str, host: usize, first: bool, controls: usize) -> PathBuf {
+        let ip = self.ip(host);
+        let seeds: Vec<String> =
+            (0..controls).map(|at| format!("{}:{OPERATORS_PORT}", self.ip(at))).collect();
+        let listen = match role {
+            "entry" => json!({
+                "Frontend": format!("{ip}:{CALLERS_PORT}"), "Ready": format!("{ip}:{READY_PORT}"),
+            }),
+            _ => json!({ "ControlPlane": format!("{ip}:{OPERATORS_PORT}") }),
+        };
+        let data = (role == "control").then(|| self.data_folder(host));
+        let settings = json!({
+            "NodeName": format!("{role}-{host}"), "Role": role, "Ip": ip, "Zone": "zone-a",
+            "Listen": listen, "PortRange": [FIRST_PORT, FIRST_PORT + 15], "Seeds": seeds,
+            "Bootstrap": first, "DataDir": data, "HeartbeatMs": 400,
+            "FaultTolerance": { "Machines": controls / 2 },
+            "Bounds": { "GraceS": 8, "RetryRatio": 0.2, "RetryWindowS": 10, "RetrySlack": 100 },
+            "Unknown": { "Later": true },
+        });
+        let path = self.dir.path().join(format!("{role}-{host}.json"));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        path
+    }
+
+    pub fn data_folder(&self, host: usize) -> PathBuf {
+        self.dir.path().join(format!("data-{host}"))
+    }
+
+    /// Document with the routes of all kinds, under the next version.
+    pub fn document(&mut self) -> Value {
+        self.version += 1;
+        let engine = json!({
+            "Slots": 16, "KvCapacity": 450000, "Stride": 46, "step_ms": 0.9, "per_seq_ms": 0.005,
+            "context_per_k": 0.0025, "read_per_s": 256000.0, "pairs_per_m": 0.09, "chunk": 2048,
+            "usual": { "prompt": 5000, "answer": 1500 }, "HopMs": 0.1,
+        });
+        json!({
+            "Version": self.version,
+            "Routes": [
+                { "Name": "ask", "Hostname": "site.example", "PathPrefix": "/ask/",
+                  "Type": "streaming", "TimeoutMs": 10000, "GoalMs": 2000, "Prio": 1,
+                  "Backend": "engines", "MaxAttempts": 2, "Resumable": true, "Sticky": true,
+                  "ItlTargetMs": 200 },
+                { "Name": "tell", "Hostname": "site.example", "PathPrefix": "/tell/",
+                  "Type": "streaming", "TimeoutMs": 10000, "GoalMs": 2000, "Prio": 1,
+                  "Backend": "engines", "MaxAttempts": 2, "Resumable": false, "Sticky": true,
+                  "ItlTargetMs": 200 },
+                { "Name": "book", "Hostname": "site.example", "PathPrefix": "/book/",
+                  "Type": "unsafe", "TimeoutMs": 2000, "GoalMs": 300, "Prio": 2,
+                  "Split": [{ "Backend": "orders", "Weight": 1 }], "MaxAttempts": 1 },
+                { "Name": "status", "Hostname": "site.example", "PathPrefix": "/book/status/",
+                  "Type": "safe", "TimeoutMs": 2000, "GoalMs": 300, "Prio": 2,
+                  "Backend": "orders", "MaxAttempts": 2 },
+            ],
+            "Backends": [
+                { "Name": "engines", "HealthPath": "/healthz", "MaxConns": 200, "Runtime": engine },
+                { "Name": "orders", "HealthPath": "/healthz", "MaxConns": 50 },
+            ],
+            "Limits": { "MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000,
+                        "IdleTimeoutMs": 15000 },
+            "Tenants": [{ "Name": WORKSPACE, "ApiKeys": [KEY], "Prio": 1 }],
+        })
+    }
+
+    /// Puts a document at any replica until one acknowledges it.
+    pub async fn put(&self, document: &Value) {
+        let due = Instant::now() + PATIENCE;
+        for at in (0..self.controls.len()).cycle() {
+            if self.put_at(at, document.to_string().into()).await == Some(200) {
+                return;
+            }
+            assert!(Instant::now() < due, "no replica acknowledges the document");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Puts bytes at one replica, following it to the leader; the status of the last answer.
+    pub async fn put_at(&self, at: usize, body: Bytes) -> Option<u16> {
+        let mut addr = self.operators_address(at);
+        for _ in 0..3 {
+            let req = Request::put("/api/config").body(Full::new(body.clone())).unwrap();
+            let answer = call(addr, req).await.ok()?;
+            match answer.headers().get("location") {
+                Some(location) if answer.status() == 307 => {
+                    let location = location.to_str().unwrap().trim_start_matches("http://");
+                    addr = location.split('/').next().unwrap().parse().unwrap();
+                }
+                _ => return Some(answer.status().as_u16()),
+            }
+        }
+        None
+    }
+
+    /// Reads the document at one replica, following it to the leader.
+    pub async fn read_at(&self, at: usize) -> Option<Value> {
+        let mut addr = self.operators_address(at);
+        for _ in 0..3 {
+            let req = Request::get("/api/config").body(Full::default()).unwrap();
+            let answer = call(addr, req).await.ok()?;
+            if let Some(location) = answer.headers().get("location") {
+                let location = location.to_str().unwrap().trim_start_matches("http://");
+                addr = location.split('/').next().unwrap().parse().unwrap();
+                continue;
+            }
+            if answer.status() != 200 {
+                return None;
+            }
+            let body = answer.into_body().collect().await.ok()?.to_bytes();
+            return serde_json::from_slice(&body).ok();
+        }
+        None
+    }
+
+    pub fn operators_address(&self, at: usize) -> SocketAddr {
+        format!("{}:{OPERATORS_PORT}", self.ip(at)).parse().unwrap()
+    }
+
+    pub fn callers_address(&self, at: usize) -> SocketAddr {
+        format!("{}:{CALLERS_PORT}", self.ip(10 + at)).parse().unwrap()
+    }
+
+    /// Status of an entry's readiness; 0 when it does not answer.
+    pub async fn readiness(&self, at: usize) -> u16 {
+        let addr = format!("{}:{READY_PORT}", self.ip(10 + at)).parse().unwrap();
+        let req = Request::get("/api/readyz").body(Full::default()).unwrap();
+        call(addr, req).await.map_or(0, |a| a.status().as_u16())
+    }
+
+    /// Waits until an entry serves both services.
+    pub async fn wait_serving(&self, entry: usize) {
+        let due = Instant::now() + PATIENCE;
+        loop {
+            let asked = self.send(entry, ask("/ask/x", 1000)).await;
+            let stated = self.send(entry, plain("GET", "/book/status/x")).await;
+            if asked.0 == 200 && stated.0 == 200 {
+                return;
+            }
+            assert!(Instant::now() < due, "entry {entry} does not serve: {asked:?} {stated:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Sends a request to an entry; status, headers and whole body, or what broke.
+    pub async fn send(
+        &self,
+        entry: usize,
+        req: Request<Full<Bytes>>,
+    ) -> (u16, HashMap<String, String>, Result<String, String>) {
+        let answer = match call(self.callers_address(entry), req).await {
+            Ok(answer) => answer,
+            Err(e) => return (0, HashMap::new(), Err(e)),
+        };
+        let status = answer.status().as_u16();
+        let named = |(k, v): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
+            (k.to_string(), v.to_str().unwrap_or_default().to_owned())
+        };
+        let headers = answer.headers().iter().map(named).collect();
+        let body = answer.into_body().collect().await.map_err(|e| e.to_string());
+        let body = body.map(|b| String::from_utf8_lossy(&b.to_bytes()).into_owned());
+        (status, headers, body)
+    }
+}
+
+/// Sends one request over a connection of its own, which lives as long as the answer's body.
+pub async fn call(
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, String> {
+    let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
+    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, conn) = shaken.map_err(|e| e.to_string())?;
+    tokio::spawn(conn);
+    sender.send_request(req).await.map_err(|e| e.to_string())
+}
+
+/// Identity of a new request.
+pub fn new_id() -> String {
+    format!("{:016x}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed))
+}
+
+/// A question with a prompt of so many tokens.
+pub fn ask(path: &str, prompt: u64) -> Request<Full<Bytes>> {
+    let mut req = plain("POST", path);
+    let headers = req.headers_mut();
+    headers.insert("token-usage", format!("{prompt},460").parse().unwrap());
+    headers.insert("model", "m".parse().unwrap());
+    req
+}
+
+/// A request of a caller that knows the key.
+pub fn plain(method: &str, path: &str) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "site.example")
+        .header("attempt-id", new_id())
+        .header("deadline-ms", "8000")
+        .header("api-key", KEY)
+        .header("tenant", "somebody-else")
+        .body(Full::new(Bytes::from_static(b"the body")))
+        .unwrap()
+}
+
+/// Identity of a request.
+pub fn id_of(req: &Request<Full<Bytes>>) -> String {
+    req.headers()["attempt-id"].to_str().unwrap().to_owned()
+}
+
+/// Waits until a condition holds.
+pub async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let due = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < due, "{what} does not come about");
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+}
