--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -6,37 +6,29 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
-use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
+use super::answers::{AnswerBody, full, plain_answer, refuse, reject, retry_soon, spread};
+use super::choose::{Choice, Placed};
 use super::config::{GatewayConfig, Repeat, Route, Service};
 use super::dialect::{CallerRequest, SendOptions};
-use super::flights::Flight;
-use super::placement::{self, Ask, Decision, EngineState, Plan};
 use super::relay;
-use super::reservation::Reservation;
 use super::send::{Answer, Outgoing, Sent, describe, send};
-use super::state::{Endpoint, FlightGuard, Gateway};
+use super::state::{Endpoint, Gateway};
 use crate::clock::boot_now;
 use crate::event;
 use crate::ids::{Moment, WorkspaceName};
 
-/// Body of an answer to a caller.
-pub type AnswerBody = BoxBody<Bytes, std::io::Error>;
-
 /// Pause between looks for an endpoint while none takes work.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
 /// Most connections that are tried in vain for one request.
 const MOST_UNSENT: u32 = 4;
 
-/// Part of the caller's time that a `Retry-After` may name; callers honour a third.
-const RETRY_AFTER_SHARE: f64 = 0.3;
-
 /// Rank at engines of what is most urgent and in time.
 const FIRST_RANK: u8 = 1;
 
@@ -46,9 +38,6 @@
 /// Rank at engines of what is late.
 const LATE_RANK: u8 = 8;
 
-/// Largest difference of costs that counts as equal.
-const TIE: f64 = 0.01;
-
 /// Longest silence of a plain service before an idempotent request goes elsewhere.
 const PLAIN_SILENCE: Duration = Duration::from_millis(900);
 
@@ -84,30 +73,6 @@
     pub tried: Vec<SmolStr>,
 }
 
-/// Where a request goes next.
-pub struct Placed {
-    /// Endpoint.
-    pub endpoint: Endpoint,
-    /// Addresses of engines that share the reading.
-    pub helpers: Vec<(String, Option<SmolStr>)>,
-    /// Whether it is late already, and so waits for others at the engine.
-    pub late: bool,
-    /// Predicted time to the first token, for engines.
-    pub predicted: Option<Duration>,
-    /// Memory held at the helpers.
-    pub reservation: Option<Reservation>,
-    /// When it was placed.
-    pub placed_at: Moment,
-    /// Sends that it adds to the load.
-    pub flights: FlightGuard,
-}
-
-enum Choice {
-    Placed(Box<Placed>),
-    Nowhere,
-    Refused(Duration, &'static str),
-}
-
 /// Answers one request of a caller.
 pub async fn handle(
     gateway: Arc<Gateway>,
@@ -287,186 +252,6 @@
         self.route.streams && answer.parts.status.is_success()
     }
 
-    /// Chooses where the request goes next.
-    pub async fn choose_next(&self) -> Option<Placed> {
-        match self.choose().await {
-            Choice::Placed(placed) => Some(*placed),
-            Choice::Nowhere | Choice::Refused(..) => None,
-        }
-    }
-
-    /// Endpoints that were not tried yet and can be reached.
-    fn candidates(&self, now: Moment) -> Vec<Endpoint> {
-        let listed = self.gateway.endpoints.lock().of(&self.service.name);
-        let health = self.gateway.health.lock();
-        let usable = |e: &&Endpoint| !self.tried.contains(&e.id) && health.allows(now, &e.id);
-        listed.iter().filter(usable).cloned().collect()
-    }
-
-    /// Whether a stream may be moved to another endpoint now.
-    pub fn may_move(&self) -> bool {
-        self.route.repeat == Repeat::Idempotent
-            && self.sends < self.route.max_attempts
-            && !self.candidates(boot_now()).is_empty()
-            && self.gateway.has_retry(&self.service.name)
-    }
-
-    async fn choose(&self) -> Choice {
-        let now = boot_now();
-        let candidates = self.candidates(now);
-        if candidates.is_empty() {
-            return Choice::Nowhere;
-        }
-        match (self.service.engine.is_some(), self.caller.tokens) {
-            (true, Some(_)) => self.choose_engine(now, candidates).await,
-            _ => self.choose_plain(now, candidates),
-        }
-    }
-
-    /// The endpoint with the fewest sends under way for its slots, failures counted in.
-    fn choose_plain(&self, now: Moment, candidates: Vec<Endpoint>) -> Choice {
-        let mut under_way = vec![0.0f64; candidates.len()];
-        for f in self.gateway.flights.lock().all() {
-            if let Some(at) = candidates.iter().position(|e| e.id == f.endpoint) {
-                under_way[at] += 1.0;
-            }
-        }
-        let health = self.gateway.health.lock();
-        let mut rng = rand::rng();
-        let cost = |at: usize| {
-            let e = &candidates[at];
-            let (failing, slowness) = health.view(now, &e.id);
-            let elsewhere = if e.zone == self.gateway.cfg.zone { 0.0 } else { 0.05 };
-            (under_way[at] + 0.2) * slowness / f64::from(e.slots.max(1)) + failing + elsewhere
-        };
-        // Equal endpoints take turns by chance.
-        let costs: Vec<f64> =
-            (0..candidates.len()).map(|at| cost(at) + rng.random_range(0.0..TIE)).collect();
-        let best = (0..candidates.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]));
-        let Some(at) = best else { return Choice::Nowhere };
-        drop(health);
-        let endpoint = candidates[at].clone();
-        let flight = Flight { endpoint: endpoint.id.clone(), sent_at: now, ..Flight::default() };
-        let flights = self.gateway.start_flights(vec![flight]);
-        Choice::Placed(Box::new(Placed {
-            endpoint,
-            helpers: Vec::new(),
-            late: false,
-            predicted: None,
-            reservation: None,
-            placed_at: now,
-            flights,
-        }))
-    }
-
-    async fn choose_engine(&self, now: Moment, candidates: Vec<Endpoint>) -> Choice {
-        let (Some(model), Some(tokens)) = (&self.service.engine, self.caller.tokens) else {
-            return Choice::Nowhere;
-        };
-        let waited = now.saturating_sub(self.started).as_secs_f64() * 1000.0;
-        let objective = self.route.objective.as_secs_f64() * 1000.0;
-        let ask = Ask {
-            prompt: tokens.prompt,
-            output: tokens.output,
-            objective_ms: (objective - waited).max(1.0),
-            pause_limit_ms: self.route.pause_limit.as_secs_f64() * 1000.0,
-            left_ms: self.left().as_secs_f64() * 1000.0,
-        };
-        let engines = self.engine_states(now, &candidates);
-        match placement::decide(model, &engines, &ask) {
-            Decision::Send(plan) => {
-                self.log_placed(&engines[plan.first], &ask, &plan);
-                self.place(now, &candidates, &ask, plan).await
-            }
-            Decision::Refuse { free_in_ms } => {
-                let after = Duration::from_secs_f64(free_in_ms.max(100.0) / 1000.0);
-                Choice::Refused(after, "no engine can serve it in time")
-            }
-            Decision::TooLarge => {
-                Choice::Refused(Duration::from_secs(1), "the engines' memory is not free")
-            }
-        }
-    }
-
-    /// Logs where a request goes, and what decided it.
-    fn log_placed(&self, engine: &EngineState, ask: &Ask, plan: &Plan) {
-        event!(self.gateway.log, RequestPlaced, "request" => self.caller.id.as_str(),
-            "endpoint" => engine.id.as_str(), "prompt" => ask.prompt,
-            "helpers" => plan.helpers.len(), "predicted_ms" => plan.first_token_ms as u64,
-            "read_ms" => plan.part_ms as u64, "backlog_ms" => engine.backlog_ms as u64,
-            "writers" => engine.writers.len(), "flights" => engine.flights,
-            "memory_used" => engine.memory_used, "slowness" => engine.slowness,
-            "failing" => engine.failing, "objective_ms" => ask.objective_ms as u64);
-    }
-
-    /// Notes the sends of a plan and reserves the memory that it needs at helpers.
-    async fn place(&self, now: Moment, candidates: &[Endpoint], ask: &Ask, plan: Plan) -> Choice {
-        let need = ask.prompt + ask.output;
-        let at_helpers: u64 = plan.helpers.iter().map(|h| h.held_tokens).sum();
-        let width = (plan.helpers.len() + 1) as u64;
-        let flight = |at: usize, helps: bool, held_tokens: u64| Flight {
-            endpoint: candidates[at].id.clone(),
-            prompt: ask.prompt,
-            output: ask.output,
-            read_tokens: ask.prompt / width,
-            read_ms: plan.part_ms,
-            sent_at: now,
-            written: 0,
-            pause_limit_ms: ask.pause_limit_ms,
-            held_tokens,
-            helps,
-            late: plan.late,
-        };
-        let mut flights = vec![flight(plan.first, false, need.saturating_sub(at_helpers))];
-        flights.extend(plan.helpers.iter().map(|h| flight(h.at, true, h.held_tokens)));
-        let flights = self.gateway.start_flights(flights);
-        let wanted = plan.helpers.iter().filter(|h| h.held_tokens > 0);
-        let wanted: Vec<(Endpoint, u64)> =
-            wanted.map(|h| (candidates[h.at].clone(), h.held_tokens)).collect();
-        let reservation = if wanted.is_empty() {
-            None
-        } else {
-            let made = Reservation::make(&self.gateway, &self.caller.id, wanted).await;
-            let Some(made) = made else {
-                let after = Duration::from_millis(400);
-                return Choice::Refused(after, "the engines' memory is not free");
-            };
-            Some(made)
-        };
-        let mut helpers = reservation.as_ref().map(Reservation::helpers).unwrap_or_default();
-        let readers = plan.helpers.iter().filter(|h| h.held_tokens == 0);
-        helpers.extend(readers.map(|h| (candidates[h.at].addr.to_string(), None)));
-        Choice::Placed(Box::new(Placed {
-            endpoint: candidates[plan.first].clone(),
-            helpers,
-            late: plan.late,
-            predicted: Some(Duration::from_secs_f64(plan.first_token_ms / 1000.0)),
-            reservation,
-            placed_at: now,
-            flights,
-        }))
-    }
-
-    fn engine_states(&self, now: Moment, candidates: &[Endpoint]) -> Vec<EngineState> {
-        let model = self.service.engine.clone().unwrap_or_default();
-        let flights = self.gateway.flights.lock();
-        let health = self.gateway.health.lock();
-        let mut by_endpoint: std::collections::HashMap<&str, Vec<&Flight>> =
-            std::collections::HashMap::new();
-        for f in flights.all() {
-            by_endpoint.entry(f.endpoint.as_str()).or_default().push(f);
-        }
-        let none = Vec::new();
-        let build = |e: &Endpoint| {
-            let there = by_endpoint.get(e.id.as_str()).unwrap_or(&none);
-            let (failing, slowness) = health.view(now, &e.id);
-            let round_trip_ms = if e.zone == self.gateway.cfg.zone { 0.3 } else { 3.0 };
-            let state = EngineState::of(e.id.clone(), &model, now, there);
-            EngineState { failing, slowness, round_trip_ms, ..state }
-        };
-        candidates.iter().map(build).collect()
-    }
-
     /// Builds the request to an endpoint.
     pub fn build(&self, placed: &Placed, last_event: Option<u64>) -> Outgoing {
         let options = SendOptions {
@@ -598,49 +383,3 @@
         plain_answer(status, reason)
     }
 }
-
-/// Wraps bytes as the body of an answer.
-pub fn full(body: Bytes) -> AnswerBody {
-    Full::new(body).map_err(|never: Infallible| match never {}).boxed()
-}
-
-fn plain_answer(status: StatusCode, reason: &str) -> Response<AnswerBody> {
-    let mut answer = Response::new(full(Bytes::from(format!("{reason}\n"))));
-    *answer.status_mut() = status;
-    answer
-}
-
-/// Time after which a caller may come back, spread so that callers do not return together.
-fn spread(after: Duration, left: Duration) -> Duration {
-    let most = left.mul_f64(RETRY_AFTER_SHARE);
-    after.mul_f64(rand::rng().random_range(0.7..1.4)).min(most)
-}
-
-fn retry_soon(caller: &CallerRequest) -> Duration {
-    let patience = caller.patience.unwrap_or(Duration::from_secs(1));
-    spread(Duration::from_millis(300), patience)
-}
-
-/// Refuses a request that did not run and never will.
-fn refuse(gateway: &Gateway, id: &str, reason: &str, after: Duration) -> Response<AnswerBody> {
-    event!(gateway.log, RequestRefused, "request" => id, "reason" => reason,
-        "retry_after_ms" => after.as_millis() as u64);
-    let mut answer = plain_answer(StatusCode::SERVICE_UNAVAILABLE, reason);
-    let seconds = format!("{:.3}", after.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        answer.headers_mut().insert(header::RETRY_AFTER, value);
-    }
-    answer
-}
-
-fn reject(
-    gateway: &Gateway,
-    caller: &CallerRequest,
-    status: StatusCode,
-    reason: &str,
-    config: &GatewayConfig,
-) -> Response<AnswerBody> {
-    event!(gateway.log, RequestRejected, "request" => caller.id.as_str(), "reason" => reason,
-        "status" => status.as_u16(), "version" => config.version);
-    plain_answer(status, reason)
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,9 @@
 //! The entry's second face: opaque requests with declared tokens, passed through to endpoints
 //! that announce themselves.
 
+pub mod answers;
 pub mod budget;
+pub mod choose;
 pub mod config;
 pub mod dialect;
 pub mod engine_model;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -18,7 +18,7 @@
 const LATE_RETURN_MS: f64 = 2500.0;
 
 /// Reading ahead at all engines, as a share of the objective, at which the fleet counts as full.
-const BUSY_SHARE: f64 = 0.5;
+const BUSY_SHARE: f64 = 0.3;
 
 /// Worth that an engine yields in a second of long reading when the fleet is full.
 const WORTH_PER_S: f64 = 3.0;
@@ -69,6 +69,10 @@
 /// Worth that is set against one more reservation.
 const RESERVATION_COST: f64 = 0.1;
 
+/// Part of a stream's worth that is set against a first token at the objective, so that of
+/// two plans in time the faster one is taken.
+const SLOWNESS_COST: f64 = 0.12;
+
 /// Part of a stream's worth that is lost when it is late.
 const LATE_LOSS: f64 = 0.75;
 
@@ -421,7 +425,7 @@
 fn lateness(first_token_ms: f64, ask: &Ask) -> f64 {
     let share = first_token_ms / ask.objective_ms.max(1.0);
     let late = ((share - SURE_SHARE) / (1.0 - SURE_SHARE)).clamp(0.0, 1.0) * LATE_LOSS;
-    late + share * 0.05
+    late + share * SLOWNESS_COST
 }
 
 /// What it costs, in worth, to read a part of the prompt at one engine.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,9 +9,11 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::answers::AnswerBody;
+use super::choose::Placed;
 use super::config::Repeat;
 use super::events::{EventSplitter, StreamEvent};
-use super::handler::{AnswerBody, Placed, Task};
+use super::handler::Task;
 use super::reservation::Reservation;
 use super::send::{Answer, Sent, describe, send};
 use super::state::{Endpoint, FlightGuard};
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,8 +14,9 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use super::answers::{self, AnswerBody};
 use super::follow::Follower;
-use super::handler::{self, AnswerBody};
+use super::handler;
 use super::share::{self, Others};
 use super::state::Gateway;
 use crate::clock::boot_now;
@@ -156,7 +157,7 @@
     _req: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, std::convert::Infallible> {
     let ready = gateway.config.load().is_some() && !gateway.stopping.is_cancelled();
-    let mut answer = Response::new(handler::full(bytes::Bytes::new()));
+    let mut answer = Response::new(answers::full(bytes::Bytes::new()));
     if !ready {
         *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,163 @@
+//! Placing, queueing and refusing at engines, on played loads.
+
+use std::time::Duration;
+
+use bitternlead::gateway::engine_model::EngineModel;
+use bitternlead::gateway::flights::Flight;
+use bitternlead::gateway::placement::{Ask, Decision, EngineState, Plan, decide, short_set};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SHORT: (u64, u64, f64, f64) = (5_000, 1_500, 300.0, 200.0);
+const LONG: (u64, u64, f64, f64) = (210_000, 800, 3000.0, 800.0);
+
+fn ask((prompt, output, objective_ms, pause_limit_ms): (u64, u64, f64, f64)) -> Ask {
+    Ask { prompt, output, objective_ms, pause_limit_ms, left_ms: 9000.0 }
+}
+
+fn flight(endpoint: usize, kind: (u64, u64, f64, f64), sent_ms: u64, written: u64) -> Flight {
+    Flight {
+        endpoint: format!("e{endpoint:02}").into(),
+        prompt: kind.0,
+        output: kind.1,
+        read_tokens: kind.0,
+        read_ms: EngineModel::default().read_ms(kind.0),
+        sent_at: Duration::from_millis(sent_ms),
+        written,
+        pause_limit_ms: kind.3,
+        held_tokens: kind.0 + kind.1,
+        ..Flight::default()
+    }
+}
+
+fn states(engines: usize, now_ms: u64, flights: &[Flight]) -> Vec<EngineState> {
+    let model = EngineModel::default();
+    let build = |at: usize| {
+        let id = format!("e{at:02}");
+        let there: Vec<&Flight> = flights.iter().filter(|f| f.endpoint == id).collect();
+        EngineState::of(id.as_str().into(), &model, Duration::from_millis(now_ms), &there)
+    };
+    (0..engines).map(build).collect()
+}
+
+fn plan(engines: &[EngineState], ask: &Ask) -> Plan {
+    match decide(&EngineModel::default(), engines, ask) {
+        Decision::Send(plan) => plan,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn short_questions_stay_away_from_engines_that_read_long_prompts() {
+    let flights: Vec<Flight> = (3..10).map(|at| flight(at, LONG, 900, 0)).collect();
+    let engines = states(10, 1000, &flights);
+    let placed = plan(&engines, &ask(SHORT));
+    assert!(placed.first < 3, "{placed:?}");
+    assert!(placed.first_token_ms < 300.0 && !placed.late);
+}
+
+#[test]
+fn long_prompts_are_read_by_several_engines_without_short_streams() {
+    let mut flights: Vec<Flight> = Vec::new();
+    for at in 0..3 {
+        flights.extend((0..8).map(|_| flight(at, SHORT, 0, 460)));
+    }
+    let engines = states(10, 1000, &flights);
+    let placed = plan(&engines, &ask(LONG));
+    assert!(placed.first >= 3 && placed.helpers.iter().all(|h| h.at >= 3), "{placed:?}");
+    assert!(!placed.helpers.is_empty() && placed.first_token_ms < 3000.0, "{placed:?}");
+}
+
+#[test]
+fn the_set_for_short_prompts_follows_their_number() {
+    let model = EngineModel::default();
+    let few = states(14, 0, &[flight(0, SHORT, 0, 46)]);
+    let many: Vec<Flight> = (0..130).map(|n| flight(n % 14, SHORT, 0, 46)).collect();
+    let many = states(14, 0, &many);
+    assert_eq!(short_set(&model, &few), 3);
+    assert!(short_set(&model, &many) >= 10);
+    assert!(short_set(&model, &many) < 14, "one engine stays for long prompts");
+}
+
+#[test]
+fn memory_is_never_promised_twice() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let model = EngineModel::default();
+    for round in 0..40 {
+        let mut flights: Vec<Flight> = Vec::new();
+        for _ in 0..30 {
+            let kind = (rng.random_range(1_000..900_000), 800, 3000.0, 800.0);
+            let engines = states(8, 0, &flights);
+            let asked = Ask { left_ms: 1e9, objective_ms: 1e9, ..ask(kind) };
+            let Decision::Send(placed) = decide(&model, &engines, &asked) else { continue };
+            let at_helpers: u64 = placed.helpers.iter().map(|h| h.held_tokens).sum();
+            let mut first = flight(placed.first, kind, 0, 0);
+            first.held_tokens = kind.0 + kind.1 - at_helpers;
+            flights.push(first);
+            for helper in &placed.helpers {
+                let mut part = flight(helper.at, kind, 0, 0);
+                part.held_tokens = helper.held_tokens;
+                part.helps = true;
+                flights.push(part);
+            }
+            for engine in states(8, 0, &flights) {
+                assert!(engine.memory_used <= model.memory_tokens, "round {round}: {engine:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_prompt_over_one_engines_memory_is_shared_and_one_over_all_is_not_taken() {
+    let engines = states(6, 0, &[]);
+    let wanted = ask((1_000_000, 800, 30_000.0, 800.0));
+    let placed = plan(&engines, &Ask { left_ms: 20_000.0, ..wanted });
+    let held: u64 = placed.helpers.iter().map(|h| h.held_tokens).sum();
+    assert!(held + 450_000 >= 1_000_800, "{placed:?}");
+    let huge = ask((9_000_000, 800, 30_000.0, 800.0));
+    assert_eq!(decide(&EngineModel::default(), &engines, &huge), Decision::TooLarge);
+}
+
+#[test]
+fn what_cannot_be_served_in_the_time_left_is_refused_at_once() {
+    let flights: Vec<Flight> =
+        (0..40).map(|n| flight(n % 4, (300_000, 800, 3000.0, 800.0), 0, 0)).collect();
+    let engines = states(4, 100, &flights);
+    let hasty = Ask { left_ms: 2000.0, ..ask(LONG) };
+    let free = Ask { prompt: 4_000, ..hasty.clone() };
+    assert!(matches!(
+        decide(&EngineModel::default(), &states(4, 100, &[]), &free),
+        Decision::Send(_)
+    ));
+    let refused = decide(&EngineModel::default(), &engines, &hasty);
+    assert!(matches!(refused, Decision::Refuse { .. } | Decision::TooLarge), "{refused:?}");
+}
+
+#[test]
+fn while_the_engines_are_busy_the_largest_prompts_are_turned_away_first() {
+    let flights: Vec<Flight> = (0..12).map(|n| flight(n % 12, LONG, 0, 0)).collect();
+    let engines = states(12, 100, &flights);
+    let smaller = ask((120_000, 800, 5000.0, 800.0));
+    let largest = ask((430_000, 800, 9000.0, 800.0));
+    assert!(matches!(decide(&EngineModel::default(), &engines, &smaller), Decision::Send(_)));
+    let refused = decide(&EngineModel::default(), &engines, &largest);
+    assert!(matches!(refused, Decision::Refuse { .. }), "{refused:?}");
+    let idle = states(12, 0, &[]);
+    assert!(matches!(decide(&EngineModel::default(), &idle, &largest), Decision::Send(_)));
+}
+
+/// At 80 short questions a second on 12 engines after a backlog, those that are late already
+/// wait behind, so that most of the others are in time.
+#[test]
+fn late_short_questions_wait_behind_those_still_in_time() {
+    let mut flights: Vec<Flight> = Vec::new();
+    for at in 0..12 {
+        flights.extend((0..16).map(|_| flight(at, SHORT, 0, 460)));
+        flights.extend((0..4).map(|_| Flight { late: true, ..flight(at, SHORT, 900, 0) }));
+    }
+    let full = states(12, 1000, &flights);
+    let placed = plan(&full, &ask(SHORT));
+    assert!(placed.first_token_ms < 400.0, "late ones do not count as ahead: {placed:?}");
+    let late = Ask { objective_ms: 1.0, ..ask(SHORT) };
+    assert!(plan(&full, &late).late);
+}
