--- a/src/cli.rs
+++ b/src/cli.rs
@@ -38,6 +38,8 @@
     Burn(BurnOptions),
     /// Removes a control replica.
     Remove(RemoveOptions),
+    /// Shows what happened to a request.
+    Trace(TraceOptions),
 }
 
 /// Run a role from the platform's settings file, which BITTERNLEAD_SETTINGS names.
@@ -305,6 +307,21 @@
     }
 }
 
+/// Show what the logs of several processes tell of one request, in the order of time.
+#[derive(FromArgs, Debug, PartialEq)]
+#[argh(subcommand, name = "trace")]
+pub struct TraceOptions {
+    /// identity of the request, then log files
+    #[argh(positional)]
+    pub request: String,
+    /// log files
+    #[argh(positional)]
+    pub files: Vec<String>,
+    /// milliseconds before the request from which changes on the nodes are shown (1000)
+    #[argh(option, default = "1000")]
+    pub margin_ms: u64,
+}
+
 /// Try an inventory and rules without applying them.
 #[derive(FromArgs, Debug, PartialEq)]
 #[argh(subcommand, name = "check")]
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -1,5 +1,6 @@
 //! The operators' commands.
 
+use std::path::PathBuf;
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
@@ -9,7 +10,7 @@
 use crate::burn;
 use crate::cli::{
     ApplyOptions, BurnOptions, CheckOptions, DrainOptions, InitOptions, OrderOptions,
-    RemoveOptions, StatusOptions,
+    RemoveOptions, StatusOptions, TraceOptions,
 };
 use crate::clock::wall_ms;
 use crate::config::{self, NamedText};
@@ -19,6 +20,7 @@
 use crate::control::reports::{BurnLine, OrderLine, StatusReport};
 use crate::exit_codes::ExitCode;
 use crate::operator::{OperatorClient, OperatorError};
+use crate::trace::Timeline;
 
 /// Time that `--wait` waits.
 const WAIT_LIMIT: Duration = Duration::from_secs(120);
@@ -117,6 +119,28 @@
     Ok(ExitCode::Success)
 }
 
+/// Shows what logs tell of one request.
+pub fn trace(options: TraceOptions) -> Done {
+    let files: Vec<PathBuf> = options.files.iter().map(PathBuf::from).collect();
+    if files.is_empty() {
+        return Err(CommandError::Input("no log file is named; add at least one".into()));
+    }
+    let margin = Duration::from_millis(options.margin_ms);
+    let timeline = Timeline::read(&options.request, &files, margin)
+        .map_err(|e| CommandError::Input(e.to_string()))?;
+    for line in &timeline.lines {
+        println!("{line}");
+    }
+    if timeline.unread > 0 {
+        eprintln!("bitternlead: {} lines could not be read", timeline.unread);
+    }
+    if timeline.lines.is_empty() {
+        eprintln!("bitternlead: no line is about request {}", options.request);
+        return Ok(ExitCode::Failure);
+    }
+    Ok(ExitCode::Success)
+}
+
 /// Forms a cluster.
 pub async fn init(options: InitOptions) -> Done {
     let client = OperatorClient::new(options.operators, options.operator_token)?;
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -21,7 +21,9 @@
 use super::store::{Opened, Store, StoreError};
 use crate::clock::boot_now;
 use crate::event;
+use crate::http::Readiness;
 use crate::ids::ReplicaId;
+use crate::metrics::Metrics;
 use crate::process::{self, RunError};
 use crate::raft::{Raft, RaftConfig};
 use crate::wire::envelope::Body;
@@ -34,7 +36,7 @@
 /// Pause before a data folder that could not be opened is tried again.
 const OPEN_PAUSE: Duration = Duration::from_millis(300);
 
-/// Longest wait of a replica that starts before it asks for votes.
+/// Longest pause between a starting replica's calls for votes until it meets a leader.
 const FIRST_WAIT: Duration = Duration::from_millis(250);
 
 /// Longest wait for the core's answer to a call from outside.
@@ -162,6 +164,24 @@
         self.call(Input::ReadDocument).await
     }
 
+    /// Keeps readiness and metrics as the replica publishes its state.
+    pub async fn count(
+        mut self,
+        readiness: Readiness,
+        metrics: Arc<Metrics>,
+        cx: CancellationToken,
+    ) {
+        while !cx.is_cancelled() {
+            let state = self.published.borrow_and_update().clone();
+            readiness.set(state.in_touch);
+            metrics.leader.set(i64::from(state.leads));
+            metrics.config_version.set(state.document.version);
+            if self.published.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     async fn call<T>(
         &self,
         input: impl FnOnce(oneshot::Sender<Answer<T>>) -> Input,
--- a/src/gateway/answers.rs
+++ b/src/gateway/answers.rs
@@ -13,6 +13,7 @@
 use super::dialect::CallerRequest;
 use super::state::Gateway;
 use crate::event;
+use crate::metrics::ReasonLabels;
 
 /// Body of an answer to a caller.
 pub type AnswerBody = BoxBody<Bytes, std::io::Error>;
@@ -48,6 +49,8 @@
 pub fn refuse(gateway: &Gateway, id: &str, reason: &str, after: Duration) -> Response<AnswerBody> {
     event!(gateway.log, RequestRefused, "request" => id, "reason" => reason,
         "retry_after_ms" => after.as_millis() as u64);
+    let labels = ReasonLabels { reason: reason.to_owned() };
+    gateway.metrics.refusals.get_or_create(&labels).inc();
     let mut answer = plain_answer(StatusCode::SERVICE_UNAVAILABLE, reason);
     let seconds = format!("{:.3}", after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -76,8 +76,12 @@
         listed.iter().filter(usable).cloned().collect()
     }
 
-    /// Whether a stream may be moved to another endpoint now.
-    pub fn may_move(&self) -> bool {
+    /// Finds a place to move a stream to, if it may be moved now.
+    pub async fn find_move(&self) -> Option<Placed> {
+        if self.may_move() { self.choose_next().await } else { None }
+    }
+
+    fn may_move(&self) -> bool {
         self.route.repeat == Repeat::Idempotent
             && self.sends < self.route.max_attempts
             && !self.candidates(boot_now()).is_empty()
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -129,6 +129,8 @@
         }
         if news.load_addresses_changed {
             self.others.replace(&news.load_addresses, self.load_address);
+            // An entry that has just started knows no load yet.
+            self.gateway.load_changed.notify_one();
         }
         if !news.control_addresses.is_empty() {
             let addresses = news.control_addresses.iter().filter_map(|a| a.parse().ok());
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -22,6 +22,7 @@
 use crate::clock::boot_now;
 use crate::event;
 use crate::ids::{Moment, WorkspaceName};
+use crate::prompt_class::PromptClass;
 
 /// Pause between looks for an endpoint while none takes work.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
@@ -229,6 +230,7 @@
         if !task.may_send_again() {
             return failed.unwrap_or_else(|| task.give_up(&reason));
         }
+        task.gateway.metrics.retries.inc();
         event!(task.gateway.log, AttemptRetried, "request" => task.caller.id.as_str(),
             "endpoint" => endpoint.id.as_str(), "reason" => reason, "sends" => task.sends);
     }
@@ -240,6 +242,11 @@
         self.deadline.saturating_sub(boot_now())
     }
 
+    /// Class of the prompt's length for metrics; plain services have their own.
+    pub fn class(&self) -> &'static str {
+        self.caller.tokens.map_or("plain", |t| PromptClass::of(t.prompt).name())
+    }
+
     /// Whether a stream that began then, with such a pause, is late.
     pub fn is_late(&self, first_at: Option<Moment>, longest_pause: Duration) -> bool {
         let limit = self.route.pause_limit;
@@ -356,6 +363,8 @@
     }
 
     fn log_done(&self, endpoint: &Endpoint, status: StatusCode) {
+        let took = boot_now().saturating_sub(self.started);
+        self.gateway.count("done", self.class(), took);
         event!(self.gateway.log, RequestDone, "request" => self.caller.id.as_str(),
             "route" => self.route.name.as_str(), "endpoint" => endpoint.id.as_str(),
             "status" => status.as_u16(), "sends" => self.sends,
@@ -375,6 +384,8 @@
             let after = spread(Duration::from_millis(150), self.left());
             return refuse(&self.gateway, &self.caller.id, reason, after);
         }
+        let took = boot_now().saturating_sub(self.started);
+        self.gateway.count("unknown", self.class(), took);
         event!(self.gateway.log, RequestFailed, "request" => self.caller.id.as_str(),
             "route" => self.route.name.as_str(), "reason" => reason, "sends" => self.sends,
             "ms" => boot_now().saturating_sub(self.started).as_millis() as u64);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,15 +19,22 @@
 use super::state::{Endpoint, FlightGuard};
 use crate::clock::boot_now;
 use crate::event;
+use crate::metrics::ClassLabels;
 
 /// Events that may wait for a caller who reads slowly.
 const QUEUE: usize = 8;
 
 /// Shortest silence inside a stream after which it is resumed elsewhere.
-const LEAST_SILENCE: Duration = Duration::from_millis(1700);
+const LEAST_SILENCE: Duration = Duration::from_millis(1000);
 
 /// Silence inside a stream, in longest pauses, after which it is resumed elsewhere.
-const SILENT_PAUSES: u32 = 6;
+const SILENT_PAUSES: u32 = 5;
+
+/// Longest wait for an engine that takes over the stream of a silent one.
+const MOVE_LIMIT: Duration = Duration::from_millis(1500);
+
+/// How a stream ends that was passed on whole.
+const COMPLETE: &str = "complete";
 
 type EventSender = mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>;
 
@@ -39,6 +46,8 @@
     CallerLeft,
     /// The engine broke off or fell silent.
     Broken(String),
+    /// The engine was silent, and another one goes on.
+    Moves(Box<Part>),
     /// The time is up.
     TimeUp,
 }
@@ -104,10 +113,10 @@
         longest_pause: Duration::ZERO,
     };
     let mut next = Some(part);
-    let mut ended = "complete";
+    let mut ended = COMPLETE;
     while let Some(part) = next.take() {
         let endpoint = part.endpoint.clone();
-        let end = pass_part(&task, part, &tx, &mut progress).await;
+        let end = pass_part(&mut task, part, &tx, &mut progress).await;
         let reason = match end {
             PartEnd::Complete => break,
             PartEnd::CallerLeft => {
@@ -119,6 +128,11 @@
                 let _ = tx.send(Err(std::io::Error::other(ended))).await;
                 break;
             }
+            PartEnd::Moves(part) => {
+                task.gateway.health.lock().failed(boot_now(), &endpoint.id);
+                next = Some(*part);
+                continue;
+            }
             PartEnd::Broken(reason) => reason,
         };
         task.gateway.health.lock().failed(boot_now(), &endpoint.id);
@@ -133,6 +147,7 @@
         }
     }
     let first = progress.first_at.unwrap_or_default().saturating_sub(task.started);
+    count(&task, &progress, ended, first);
     event!(task.gateway.log, StreamDone, "request" => task.caller.id.as_str(),
         "route" => task.route.name.as_str(), "ended" => ended, "events" => progress.events,
         "first_ms" => first.as_millis() as u64, "sends" => task.sends,
@@ -140,37 +155,78 @@
         "ms" => boot_now().saturating_sub(task.started).as_millis() as u64);
 }
 
-/// Sends the request to another engine, to go on after the last event that was passed on.
+fn count(task: &Task, progress: &Progress, ended: &str, first: Duration) {
+    let outcome = if ended == COMPLETE { "done" } else { ended };
+    let labels = ClassLabels { class: task.class().to_owned() };
+    let metrics = &task.gateway.metrics;
+    metrics.first_token.get_or_create(&labels).observe(first.as_secs_f64());
+    metrics.pause.get_or_create(&labels).observe(progress.longest_pause.as_secs_f64());
+    task.gateway.count(outcome, task.class(), boot_now().saturating_sub(task.started));
+}
+
+/// Goes on at another engine after the last event that was passed on, where that is allowed.
 async fn resume(
     task: &mut Task,
     tx: &EventSender,
     progress: &Progress,
     reason: &str,
 ) -> Option<Part> {
-    while !tx.is_closed() && task.route.repeat == Repeat::Idempotent && task.may_send_again() {
+    while task.route.repeat == Repeat::Idempotent && task.may_send_again() {
         let placed = task.choose_next().await?;
-        event!(task.gateway.log, AttemptRetried, "request" => task.caller.id.as_str(),
-            "endpoint" => placed.endpoint.id.as_str(), "reason" => reason,
-            "sends" => task.sends, "after_event" => progress.last_event);
-        let out = task.build(&placed, progress.last_event);
         let limit = task.left();
-        let sending = send(&task.gateway, &placed.endpoint, &out, &task.caller.id, limit);
-        let sent = tokio::select! {
-            sent = sending => sent,
-            () = tx.closed() => return None,
-        };
-        task.note(&placed.endpoint, &sent);
-        if let Sent::Answer(answer) = sent
-            && answer.parts.status.is_success()
-        {
-            return Some(build_part(placed, *answer));
+        let part = send_again(task, tx, progress, placed, limit, reason).await;
+        if part.is_some() || tx.is_closed() {
+            return part;
         }
     }
     None
 }
 
+/// Finds another engine that goes on with the stream of a silent one, which is kept until then.
+async fn find_move(task: &mut Task, tx: &EventSender, progress: &Progress) -> Option<Part> {
+    let placed = task.find_move().await?;
+    if !task.may_send_again() {
+        return None;
+    }
+    let limit = task.left().min(MOVE_LIMIT);
+    send_again(task, tx, progress, placed, limit, "silent").await
+}
+
+/// Sends the request once more; `None` if the engine does not begin a stream.
+async fn send_again(
+    task: &mut Task,
+    tx: &EventSender,
+    progress: &Progress,
+    placed: Placed,
+    limit: Duration,
+    reason: &str,
+) -> Option<Part> {
+    task.gateway.metrics.retries.inc();
+    event!(task.gateway.log, AttemptRetried, "request" => task.caller.id.as_str(),
+        "endpoint" => placed.endpoint.id.as_str(), "reason" => reason,
+        "sends" => task.sends, "after_event" => progress.last_event);
+    let out = task.build(&placed, progress.last_event);
+    let sending = send(&task.gateway, &placed.endpoint, &out, &task.caller.id, limit);
+    let sent = tokio::select! {
+        sent = sending => sent,
+        () = tx.closed() => return None,
+    };
+    task.note(&placed.endpoint, &sent);
+    match sent {
+        Sent::Answer(answer) if answer.parts.status.is_success() => {
+            Some(build_part(placed, *answer))
+        }
+        _ => None,
+    }
+}
+
 /// Passes the events of one engine on until they end.
-async fn pass_part(task: &Task, part: Part, tx: &EventSender, progress: &mut Progress) -> PartEnd {
+async fn pass_part(
+    task: &mut Task,
+    part: Part,
+    tx: &EventSender,
+    progress: &mut Progress,
+) -> PartEnd {
     let Part { answer, endpoint, flights, reservation, predicted, sent_at } = part;
     let Answer { head, mut body, conn, .. } = answer;
     let mut splitter = EventSplitter::default();
@@ -187,8 +243,10 @@
         };
         let data = match frame {
             Err(_) if task.left().is_zero() => return PartEnd::TimeUp,
-            Err(_) if task.may_move() => return PartEnd::Broken("silent".into()),
             Err(_) => {
+                if let Some(next) = find_move(task, tx, progress).await {
+                    return PartEnd::Moves(Box::new(next));
+                }
                 waits_on = true;
                 continue;
             }
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -17,6 +17,7 @@
 
 use super::state::{Endpoint, Gateway};
 use crate::event;
+use crate::metrics::ReasonLabels;
 
 /// Time that a reservation lives without being renewed.
 const HOLD: Duration = Duration::from_millis(3200);
@@ -67,6 +68,9 @@
         event!(gateway.log, MemoryReserved, "request" => request, "granted" => whole,
             "engines" => shares.len(),
             "tokens" => shares.iter().map(|s| s.tokens).sum::<u64>());
+        let reason = if whole { "granted" } else { "refused" };
+        let labels = ReasonLabels { reason: reason.into() };
+        gateway.metrics.reservations.get_or_create(&labels).inc();
         if !whole {
             return None;
         }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, Response, StatusCode};
+use ::http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -22,6 +22,7 @@
 use crate::clock::boot_now;
 use crate::control::service::SeedSource;
 use crate::event;
+use crate::http::{self, Readiness};
 use crate::process::{self, EndSignals, RunError};
 
 /// Interval at which old state is dropped.
@@ -45,6 +46,8 @@
     pub ready: SocketAddr,
     /// Load of other entries.
     pub load: SocketAddr,
+    /// Metrics and probes.
+    pub metrics: SocketAddr,
     /// Longest time to stop.
     pub grace: Duration,
 }
@@ -71,7 +74,12 @@
     tokio::spawn(follower.run(seeds));
     tokio::spawn(share::tell(Arc::clone(&gateway), Arc::clone(&socket), others, cx.clone()));
     tokio::spawn(share::hear(Arc::clone(&gateway), socket, cx.clone()));
-    tokio::spawn(sweep(Arc::clone(&gateway), cx.clone()));
+    let (metrics, _) = process::bind(addresses.metrics).await?;
+    let readiness = Readiness::default();
+    let probes =
+        http::add_probes(viz::Router::new(), readiness.clone(), Arc::clone(&gateway.metrics));
+    tokio::spawn(http::serve(metrics, probes, cx.clone()));
+    tokio::spawn(sweep(Arc::clone(&gateway), readiness, cx.clone()));
     tokio::spawn(serve_ready(ready, Arc::clone(&gateway)));
     let serving = tokio::spawn(serve_callers(callers, Arc::clone(&gateway)));
     event!(gateway.log, ProcessStarted, "address" => addresses.callers.to_string());
@@ -93,12 +101,16 @@
     Ok(())
 }
 
-async fn sweep(gateway: Arc<Gateway>, cx: CancellationToken) {
+async fn sweep(gateway: Arc<Gateway>, readiness: Readiness, cx: CancellationToken) {
     while !cx.is_cancelled() {
         sleep(SWEEP).await;
+        readiness.set(is_ready(&gateway));
         gateway.pool.sweep();
         gateway.flights.lock().sweep(boot_now());
+        gateway.metrics.in_flight.set(gateway.flights.lock().own_count() as i64);
+        gateway.metrics.entries.set(gateway.flights.lock().entries() as i64);
         let endpoints = gateway.endpoints.lock();
+        gateway.metrics.endpoints.set(endpoints.count() as i64);
         gateway.health.lock().retain(|id| endpoints.is_ready(id));
     }
 }
@@ -152,11 +164,15 @@
     }
 }
 
+fn is_ready(gateway: &Gateway) -> bool {
+    gateway.config.load().is_some() && !gateway.stopping.is_cancelled()
+}
+
 async fn answer_ready(
     gateway: Arc<Gateway>,
     _req: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, std::convert::Infallible> {
-    let ready = gateway.config.load().is_some() && !gateway.stopping.is_cancelled();
+    let ready = is_ready(&gateway);
     let mut answer = Response::new(answers::full(bytes::Bytes::new()));
     if !ready {
         *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,6 +22,7 @@
 use crate::directory::EndpointId;
 use crate::event;
 use crate::ids::Moment;
+use crate::metrics::{ClassLabels, Metrics, RequestLabels};
 use crate::wire::{Announcement, Document, Standing};
 
 /// Time after which what a lost control replica told is forgotten, if another one is heard.
@@ -91,6 +92,11 @@
         self.ready.get(service).cloned().unwrap_or_default()
     }
 
+    /// Number of endpoints that take work.
+    pub fn count(&self) -> usize {
+        self.ready.values().map(|of_service| of_service.len()).sum()
+    }
+
     /// Whether an endpoint takes work.
     pub fn is_ready(&self, id: &str) -> bool {
         self.ready.values().any(|of_service| of_service.iter().any(|e| e.id == id))
@@ -173,6 +179,8 @@
     pub stopping: CancellationToken,
     /// Cancelled once a process that ends takes no new requests.
     pub closing: CancellationToken,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
     /// Log.
     pub log: Logger,
 }
@@ -193,10 +201,19 @@
             load_changed: Notify::new(),
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
+            metrics: Arc::new(Metrics::default()),
             log,
         }
     }
 
+    /// Counts a finished request.
+    pub fn count(&self, outcome: &str, class: &str, total: Duration) {
+        let (outcome, class) = (outcome.to_owned(), class.to_owned());
+        let labels = ClassLabels { class: class.clone() };
+        self.metrics.total.get_or_create(&labels).observe(total.as_secs_f64());
+        self.metrics.requests.get_or_create(&RequestLabels { outcome, class }).inc();
+    }
+
     /// Version of the configuration in force; 0 when there is none.
     pub fn version(&self) -> u64 {
         self.config.load().as_ref().map_or(0, |c| c.version)
@@ -211,6 +228,7 @@
             Ok(config) => {
                 event!(self.log, ConfigTaken, "version" => document.version, "from" => from);
                 self.config.store(Some(Arc::new(config)));
+                self.metrics.config_version.set(document.version);
             }
             Err(findings) => {
                 event!(self.log, ConfigUnreadable, "version" => document.version,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod prompt_class;
 pub mod raft;
 pub mod settings;
+pub mod trace;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -40,6 +40,7 @@
             Err(findings) => refuse(&findings),
         },
         Command::Platform(o) => run_on_platform(o.role),
+        Command::Trace(o) => finish(commands::trace(o)),
         Command::Check(o) => finish(commands::check(o)),
         Command::Init(o) => run_command(commands::init(o)),
         Command::Apply(o) => run_command(commands::apply(o)),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -44,6 +44,16 @@
     pub retries: Counter,
     /// Seconds to the first token by prompt class.
     pub first_token: Family<ClassLabels, Histogram>,
+    /// Seconds to the end of an answer by prompt class.
+    pub total: Family<ClassLabels, Histogram>,
+    /// Longest pauses of streams in seconds by prompt class.
+    pub pause: Family<ClassLabels, Histogram>,
+    /// Memory reservations made at several engines, by whether they were granted.
+    pub reservations: Family<ReasonLabels, Counter>,
+    /// Endpoints that take work.
+    pub endpoints: Gauge,
+    /// Entries that share their load, this one included.
+    pub entries: Gauge,
     /// Requests under way.
     pub in_flight: Gauge,
     /// Version of the configuration in force.
@@ -69,6 +79,11 @@
             refusals: Family::default(),
             retries: Counter::default(),
             first_token: Family::new_with_constructor(buckets),
+            total: Family::new_with_constructor(buckets),
+            pause: Family::new_with_constructor(buckets),
+            reservations: Family::default(),
+            endpoints: Gauge::default(),
+            entries: Gauge::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
             lease: Gauge::default(),
@@ -89,6 +104,11 @@
         r.register("refusals", "Refused requests", self.refusals.clone());
         r.register("retries", "Attempts after the first", self.retries.clone());
         r.register("first_token_seconds", "Time to first token", self.first_token.clone());
+        r.register("request_seconds", "Time to the end of an answer", self.total.clone());
+        r.register("stream_pause_seconds", "Longest pause of a stream", self.pause.clone());
+        r.register("reservations", "Memory reservations", self.reservations.clone());
+        r.register("endpoints_ready", "Endpoints that take work", self.endpoints.clone());
+        r.register("entries", "Entries that share their load", self.entries.clone());
         r.register("in_flight", "Requests under way", self.in_flight.clone());
         r.register("config_version", "Configuration in force", self.config_version.clone());
         r.register("lease_held", "Configuration lease held", self.lease.clone());
--- a/src/platform/roles.rs
+++ b/src/platform/roles.rs
@@ -14,8 +14,16 @@
 use crate::event;
 use crate::gateway::run::{self, GatewayAddresses};
 use crate::gateway::state::{Gateway, GatewaySettings};
+use crate::http::{self, Readiness};
+use crate::metrics::Metrics;
 use crate::process::{self, EndSignals, RunError};
 
+/// Port of an entry's metrics, as the deploy file names it.
+const ENTRY_METRICS_PORT: u16 = 9464;
+
+/// Port of a control replica's metrics, as the deploy file names it.
+const CONTROL_METRICS_PORT: u16 = 9465;
+
 /// Runs an entry.
 ///
 /// # Errors
@@ -36,6 +44,7 @@
         callers: settings.callers.unwrap_or(any),
         ready: settings.ready.unwrap_or(any),
         load: settings.load_address(),
+        metrics: (settings.ip, ENTRY_METRICS_PORT).into(),
         grace: settings.grace,
     };
     let gateway = Arc::new(Gateway::new(cfg, Arc::new(PlatformDialect), log));
@@ -57,6 +66,7 @@
     let operators = settings.operators.unwrap_or((settings.ip, 0).into());
     let (listener, addr) = process::bind(operators).await?;
     let founders = if settings.first_start { settings.seed_addresses() } else { Vec::new() };
+    let settings_ip = settings.ip;
     let cfg = ServiceSettings {
         node: settings.node.to_string(),
         zone: settings.zone.to_string(),
@@ -68,7 +78,13 @@
         endpoint_silence: settings.endpoint_silence,
         seeds: follow_seeds(path, settings),
     };
+    let metrics_address = (settings_ip, CONTROL_METRICS_PORT).into();
+    let (metrics_listener, _) = process::bind(metrics_address).await?;
     let service = ControlService::start(cfg, log.clone(), cx.clone()).await?;
+    let (readiness, metrics) = (Readiness::default(), Arc::new(Metrics::default()));
+    let probes = http::add_probes(viz::Router::new(), readiness.clone(), Arc::clone(&metrics));
+    tokio::spawn(http::serve(metrics_listener, probes, cx.clone()));
+    tokio::spawn(service.clone().count(readiness, metrics, cx.clone()));
     tokio::spawn(control::serve(listener, service, log.clone(), cx.clone()));
     event!(log, ProcessStarted, "address" => addr.to_string());
     signals.next().await;
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -34,8 +34,8 @@
     /// Voters beyond which a learner that caught up has to replace a silent voter; any number
     /// when absent.
     pub voters: Option<usize>,
-    /// Longest wait of a replica that starts before it asks for votes; the election timeout when
-    /// absent. Reads that rely on a lease instead of a round need it absent.
+    /// Longest pause between a starting replica's calls for votes until it meets a leader; as
+    /// for all others when absent. Reads that rely on a lease instead of a round need it absent.
     pub first_wait: Option<Duration>,
     /// Silence after which a waiting learner replaces a voter.
     pub replace_after: Duration,
@@ -130,6 +130,7 @@
     confirmed_at: Moment,
     heartbeat_at: Moment,
     led_at: Moment,
+    met_leader: bool,
     incoming: Option<(Index, Term, Vec<u8>)>,
     effects: Vec<Effect>,
 }
@@ -157,6 +158,7 @@
             confirmed_at: now,
             heartbeat_at: now,
             led_at: now,
+            met_leader: false,
             incoming: None,
             effects: Vec::new(),
         };
@@ -300,14 +302,15 @@
     }
 
     fn hurry_first_election(&mut self, now: Moment) {
-        let Some(longest) = self.cfg.first_wait else { return };
-        self.heard_at = now.saturating_sub(self.cfg.election_timeout);
-        let wait = self.rng.random_range(0..=longest.as_millis() as u64);
-        self.deadline = now + Duration::from_millis(wait);
+        if self.cfg.first_wait.is_some() {
+            self.heard_at = now.saturating_sub(self.cfg.election_timeout);
+            self.reset_deadline(now);
+        }
     }
 
     fn reset_deadline(&mut self, now: Moment) {
-        let base = self.cfg.election_timeout;
+        let hurried = self.cfg.first_wait.filter(|_| !self.met_leader);
+        let base = hurried.map_or(self.cfg.election_timeout, |wait| wait / 2);
         let spread = self.rng.random_range(0..=base.as_millis() as u64);
         self.deadline = now + base + Duration::from_millis(spread);
     }
@@ -355,6 +358,7 @@
         self.confirmed_at = now;
         self.heartbeat_at = now;
         self.led_at = now;
+        self.met_leader = true;
         self.effects.push(Effect::Lead);
         let noop = Command { kind: Some(command::Kind::Noop(Noop {})), ..Command::default() };
         self.propose(now, noop);
--- a/src/raft/replication.rs
+++ b/src/raft/replication.rs
@@ -99,6 +99,7 @@
         }
         self.role = Role::Follower;
         self.leader = Some(from);
+        self.met_leader = true;
         self.heard_at = now;
         self.reset_deadline(now);
         true
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -36,7 +36,7 @@
 fn the_catalogue_of_events_is_that_of_the_code() {
     let mut page = String::from(
         "# Events\n\nEvery log line has one of these numbers in its field `event`. What an \
-         operator does about them stands in `OPERATING.md`.\n\n\
+         operator does about them stands in `OPERATIONS.md`.\n\n\
          | event | level | message |\n| --- | --- | --- |\n",
     );
     for event in Event::ALL {
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -1,4 +1,4 @@
-//! Runs the commands of `docs/OPERATING.md`, and checks settings and exit codes.
+//! Runs the commands of `docs/OPERATIONS.md`, and checks settings and exit codes.
 
 mod testenv;
 
@@ -8,7 +8,7 @@
 
 /// Commands of the operators' page, without the roles that keep running.
 fn commands() -> Vec<String> {
-    let page = std::fs::read_to_string("docs/OPERATING.md").unwrap();
+    let page = std::fs::read_to_string("docs/OPERATIONS.md").unwrap();
     let lines = page.lines().map(str::trim).filter(|l| l.starts_with("bitternlead "));
     lines.map(str::to_owned).collect()
 }
@@ -20,6 +20,8 @@
     let status = env.status();
     let replica = status["replicas"].as_array().unwrap().iter().find(|r| r["leader"] == false);
     let replica = replica.unwrap()["id"].as_str().unwrap().to_owned();
+    let told = r#"{"ts":"2026-03-04T10:00:00Z","msg":"request refused","event":"E600","node":"n","role":"entry","request":"4f"}"#;
+    std::fs::write(env.path("request.log"), told).unwrap();
     let mut seen = 0;
     for line in commands() {
         let line = line
@@ -32,7 +34,8 @@
             .replace("HOST", "h0")
             .replace("ENDPOINT", "e0")
             .replace("MODEL", "m")
-            .replace("IDENTITY", &replica);
+            .replace("IDENTITY", &replica)
+            .replace("REQUEST LOGS", &format!("4f {}", env.path("request.log")));
         let words: Vec<&str> = line.split_whitespace().skip(1).collect();
         if ["control", "agent", "entry"].contains(&words[0]) {
             // The roles run in every test; here their flags are checked against the help.
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -627,3 +627,103 @@
         random_faults(seed, count, 150);
     }
 }
+
+fn founding(ids: &[u64]) -> Vec<bitternlead::wire::Replica> {
+    let build = |id: &u64| bitternlead::wire::Replica {
+        id: *id,
+        address: format!("host-{id}"),
+        voter: true,
+        ..bitternlead::wire::Replica::default()
+    };
+    ids.iter().map(build).collect()
+}
+
+/// Replicas that hand each other all messages at once; those in `down` get and send none.
+struct Together {
+    replicas: Vec<bitternlead::raft::Raft>,
+    down: Vec<u64>,
+    now: std::time::Duration,
+}
+
+impl Together {
+    fn start(ids: &[u64], cfg: bitternlead::raft::RaftConfig) -> Self {
+        let build = |id: &u64| {
+            let found = bitternlead::raft::Restored::default();
+            bitternlead::raft::Raft::new(*id, cfg.clone(), *id, std::time::Duration::ZERO, found)
+        };
+        let now = std::time::Duration::ZERO;
+        Self { replicas: ids.iter().map(build).collect(), down: vec![], now }
+    }
+
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now += std::time::Duration::from_millis(10);
+            let now = self.now;
+            let mut on_their_way = Vec::new();
+            for replica in &mut self.replicas {
+                if self.down.contains(&replica.id()) {
+                    continue;
+                }
+                replica.tick(now);
+                on_their_way.extend(replica.take_effects(now));
+            }
+            while let Some(effect) = on_their_way.pop() {
+                let bitternlead::raft::Effect::Send(msg) = effect else { continue };
+                let to = self.replicas.iter_mut().find(|r| r.id() == msg.to);
+                let Some(to) = to.filter(|r| !self.down.contains(&r.id())) else { continue };
+                to.receive(now, msg);
+                on_their_way.extend(to.take_effects(now));
+            }
+        }
+    }
+
+    fn leader(&mut self) -> &mut bitternlead::raft::Raft {
+        let down = self.down.clone();
+        let leads = |r: &&mut bitternlead::raft::Raft| r.is_leader() && !down.contains(&r.id());
+        self.replicas.iter_mut().find(leads).expect("a leader")
+    }
+}
+
+#[test]
+fn founders_with_the_same_list_form_one_cluster() {
+    let mut all = Together::start(&[1, 2, 3], bitternlead::raft::RaftConfig::default());
+    let now = all.now;
+    for replica in &mut all.replicas {
+        assert!(replica.found_with(now, founding(&[1, 2, 3])));
+        assert!(!replica.found_with(now, founding(&[1, 2, 3])), "once only");
+    }
+    all.run(3000);
+    let leaders = all.replicas.iter().filter(|r| r.is_leader()).count();
+    assert_eq!(leaders, 1);
+    assert!(all.replicas.iter().all(|r| r.replicas().len() == 3));
+}
+
+#[test]
+fn a_learner_replaces_a_silent_voter_but_never_a_sound_one() {
+    let cfg = bitternlead::raft::RaftConfig {
+        voters: Some(3),
+        ..bitternlead::raft::RaftConfig::default()
+    };
+    let mut all = Together::start(&[1, 2, 3, 4], cfg);
+    let now = all.now;
+    for replica in &mut all.replicas[..3] {
+        replica.found_with(now, founding(&[1, 2, 3]));
+    }
+    all.run(3000);
+    let learner = bitternlead::wire::Replica { voter: false, ..founding(&[4]).remove(0) };
+    let now = all.now;
+    assert!(all.leader().join(now, learner));
+    all.run(3000);
+    let voters = |r: &bitternlead::raft::Raft| {
+        let mut ids: Vec<u64> = r.replicas().iter().filter(|r| r.voter).map(|r| r.id).collect();
+        ids.sort_unstable();
+        ids
+    };
+    assert_eq!(voters(all.leader()), [1, 2, 3], "all voters are sound");
+    let silent = (1..=3).find(|id| *id != all.leader().id()).unwrap();
+    all.down.push(silent);
+    all.run(4000);
+    let mut wanted: Vec<u64> = (1..=4).filter(|id| *id != silent).collect();
+    wanted.sort_unstable();
+    assert_eq!(voters(all.leader()), wanted);
+}
