--- a/src/control/store.rs
+++ b/src/control/store.rs
@@ -209,7 +209,9 @@
     let mut f = File::create(&partial)?;
     f.write_all(data)?;
     f.sync_all()?;
-    faults::reach("store.replace");
+    if faults::reach("store.replace").is_some() {
+        return Err(io::Error::other("cannot replace a file"));
+    }
     fs::rename(&partial, folder.join(name))?;
     File::open(folder)?.sync_all()
 }
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -153,7 +153,7 @@
         let engines = self.engine_states(now, &candidates);
         match placement::decide(model, &engines, &ask) {
             Decision::Send(plan) => {
-                self.log_placed(&engines[plan.first], &ask, &plan);
+                self.log_placed(&engines, &ask, &plan);
                 self.place(now, &candidates, &ask, plan).await
             }
             Decision::Refuse { free_in_ms } => {
@@ -167,10 +167,12 @@
     }
 
     /// Logs where a request goes, and what decided it.
-    fn log_placed(&self, engine: &EngineState, ask: &Ask, plan: &Plan) {
+    fn log_placed(&self, engines: &[EngineState], ask: &Ask, plan: &Plan) {
+        let engine = &engines[plan.first];
+        let helpers: Vec<&str> = plan.helpers.iter().map(|h| engines[h.at].id.as_str()).collect();
         event!(self.gateway.log, RequestPlaced, "request" => self.caller.id.as_str(),
             "endpoint" => engine.id.as_str(), "prompt" => ask.prompt,
-            "helpers" => plan.helpers.len(), "predicted_ms" => plan.first_token_ms as u64,
+            "helpers" => helpers.join(","), "predicted_ms" => plan.first_token_ms as u64,
             "read_ms" => plan.part_ms as u64, "backlog_ms" => engine.backlog_ms as u64,
             "writers" => engine.writers.len(), "flights" => engine.flights,
             "memory_used" => engine.memory_used, "slowness" => engine.slowness,
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -164,3 +164,24 @@
         assert!(text.contains(place), "{place} is missing in {text}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_disk_that_refuses_writes_for_a_while_ends_no_process_and_loses_nothing() {
+    let mut world = World::start(1, 0).await;
+    let first = world.document();
+    world.put(&first).await;
+    world.set_fault(0, "store.replace=return").await;
+    world.set_fault(0, "store.sync=return").await;
+    let second = world.document();
+    let refused = world.put_at(0, second.to_string().into());
+    let refused = tokio::time::timeout(Duration::from_secs(4), refused).await;
+    assert_ne!(refused.unwrap_or(None), Some(200), "acknowledged without a synced copy");
+    wait_until("the failed write", async || !world.controls[0].log_lines("E304").is_empty()).await;
+    world.set_fault(0, "store.sync=off").await;
+    world.set_fault(0, "store.replace=off").await;
+    world.put(&second).await;
+    assert!(!world.controls[0].has_ended());
+    assert!(!world.controls[0].log_lines("E309").is_empty());
+    world.controls[0].restart();
+    wait_until("the document", async || world.read_at(0).await == Some(second.clone())).await;
+}
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -248,6 +248,14 @@
         None
     }
 
+    /// Sets a fail point of a control replica.
+    pub async fn set_fault(&self, at: usize, fault: &str) {
+        let addr = format!("{}:9465", self.ip(at)).parse().unwrap();
+        let body = Full::new(Bytes::from(fault.to_owned()));
+        let answer = call(addr, Request::post("/faults").body(body).unwrap()).await.unwrap();
+        assert_eq!(answer.status(), 200, "{fault}");
+    }
+
     pub fn operators_address(&self, at: usize) -> SocketAddr {
         format!("{}:{OPERATORS_PORT}", self.ip(at)).parse().unwrap()
     }
