--- a/src/cli.rs
+++ b/src/cli.rs
@@ -42,7 +42,7 @@
     Trace(TraceOptions),
 }
 
-/// Run a role from the platform's settings file, which BITTERNLEAD_SETTINGS names.
+/// Run a role from the settings file of the users' platform.
 #[derive(FromArgs, Debug, PartialEq)]
 #[argh(subcommand, name = "platform")]
 pub struct PlatformOptions {
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -8,9 +8,10 @@
 use slog::Logger;
 use tokio::sync::{oneshot, watch};
 
+use super::core_config::{CoreConfig, OnWriteError, Published};
 use super::peers::PeerSender;
 use super::placement;
-use super::roster::{Heard, Roster, RosterConfig, RosterEvent};
+use super::roster::{Heard, Roster, RosterEvent};
 use super::state::ControlState;
 use super::store::Store;
 use super::sync_desk::{SyncDesk, WaitingSync};
@@ -28,58 +29,6 @@
 /// Inputs taken before the batch is synced.
 const MOST_INPUTS: usize = 2048;
 
-/// Settings of the core.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CoreConfig {
-    /// Lease on the configuration that nodes get.
-    pub lease: Duration,
-    /// Entries after which a snapshot is taken.
-    pub snapshot_entries: usize,
-    /// Timing of the roster.
-    pub roster: RosterConfig,
-    /// Longest wait for input, and so the resolution of all timers here.
-    pub tick: Duration,
-    /// What follows a failed write or sync.
-    pub on_write_error: OnWriteError,
-    /// Synced copies that a change of the document needs before it is taken.
-    pub document_copies: usize,
-}
-
-/// What a replica does after a failed write or sync; it answers nothing in either case.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OnWriteError {
-    /// End the process.
-    End,
-    /// Write the whole folder anew until that succeeds.
-    Rewrite,
-}
-
-/// What a replica tells the rest of its process after each change.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Published {
-    /// The document, as far as it is applied here.
-    pub document: Document,
-    /// Replicas of the newest membership.
-    pub replicas: Vec<Replica>,
-    /// Whether this replica leads.
-    pub leads: bool,
-    /// Whether a leader is known.
-    pub in_touch: bool,
-}
-
-impl Default for CoreConfig {
-    fn default() -> Self {
-        Self {
-            lease: Duration::from_millis(3000),
-            snapshot_entries: 20_000,
-            roster: RosterConfig::default(),
-            tick: Duration::from_millis(20),
-            on_write_error: OnWriteError::End,
-            document_copies: 1,
-        }
-    }
-}
-
 /// An answer that only the leader can give.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer<T> {
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use super::core::Published;
+use super::core_config::Published;
 use crate::clock::boot_now;
 use crate::directory::Directory;
 use crate::event;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod claims;
 pub mod config_records;
 pub mod core;
+pub mod core_config;
 pub mod hub;
 pub mod log_file;
 pub mod operators;
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -11,7 +11,8 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::core::{Core, CoreConfig, CoreView, Input};
+use super::core::{Core, CoreView, Input};
+use super::core_config::CoreConfig;
 use super::peers::PeerSender;
 use super::roster::RosterConfig;
 use super::state::ControlState;
@@ -173,7 +174,8 @@
     }
 }
 
-async fn ask_to_join(
+/// Asks a replica, or the one that leads it, to take another one in.
+pub(super) async fn ask_to_join(
     addr: SocketAddr,
     own: &Replica,
     cfg: &LinkConfig,
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -13,9 +13,11 @@
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::core::{Answer, Core, CoreConfig, Input, OnWriteError, Published};
+use super::core::{Answer, Core, Input};
+use super::core_config::{CoreConfig, OnWriteError, Published};
 use super::hub::{Hub, HubHandler};
 use super::peers::PeerSender;
+use super::run::ask_to_join;
 use super::server;
 use super::state::ControlState;
 use super::store::{Opened, Store, StoreError};
@@ -28,7 +30,7 @@
 use crate::raft::{Raft, RaftConfig};
 use crate::wire::envelope::Body;
 use crate::wire::link::{Link, LinkConfig};
-use crate::wire::{Announcement, Command, Document, Join, Outcome, Replica, command};
+use crate::wire::{Announcement, Command, Document, Outcome, Replica, command};
 
 /// Pause between looks whether this replica has to ask to be taken in.
 const JOIN_PAUSE: Duration = Duration::from_millis(400);
@@ -320,19 +322,6 @@
     Core::new(core_cfg, own, raft, opened.store, state.unwrap_or_default(), peers, log.clone())
 }
 
-async fn ask_to_join(
-    addr: SocketAddr,
-    own: &Replica,
-    cfg: &LinkConfig,
-    cx: &CancellationToken,
-) -> bool {
-    let Ok(link) = Link::connect(addr, cfg, cx).await else { return false };
-    let join = Join { replica: Some(own.clone()), ask_only: false };
-    let answer = link.ask(Body::Join(join), cfg.connect_timeout).await;
-    link.close();
-    matches!(answer, Ok(Body::JoinReply(reply)) if reply.accepted)
-}
-
 /// Hands announcements to all other replicas, over one link each.
 async fn relay_announcements(
     mut rx: mpsc::UnboundedReceiver<Announcement>,
