Name what a pause can make late, and why a long prompt is turned away

Reading the diff: bare triples in the placing code, and one reason for two different refusals. A body that comes too slowly is answered 408 instead of 400.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -156,9 +156,9 @@
                 self.log_placed(&engines, &ask, &plan);
                 self.place(now, &candidates, &ask, plan).await
             }
-            Decision::Refuse { free_in_ms } => {
+            Decision::Refuse { free_in_ms, cause } => {
                 let after = Duration::from_secs_f64(free_in_ms.max(LEAST_AWAY_MS) / 1000.0);
-                Choice::Refused(after, "no engine can serve it in time")
+                Choice::Refused(after, cause.text())
             }
             Decision::TooLarge => {
                 Choice::Refused(Duration::from_secs(1), "the engines' memory is not free")
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -134,7 +134,11 @@
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return Err(reject(gateway, &caller, status, "body too large", &config));
         }
-        Ok(Err(_)) | Err(_) => {
+        Err(_) => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            return Err(reject(gateway, &caller, status, "body too slow", &config));
+        }
+        Ok(Err(_)) => {
             let status = StatusCode::BAD_REQUEST;
             return Err(reject(gateway, &caller, status, "body not complete", &config));
         }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -108,6 +108,17 @@
     (prompt as f64 + 10.0 * output as f64) / WORTH_TOKENS
 }
 
+/// A stream that pauses can make late.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StreamAtStake {
+    /// Tokens that its steps attend to.
+    pub context: u64,
+    /// Longest pause between events in milliseconds; 0 for any.
+    pub pause_limit_ms: f64,
+    /// Worth that it has while it is in time.
+    pub worth: f64,
+}
+
 /// One engine as it is believed to be.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineState {
@@ -117,10 +128,10 @@
     pub flights: usize,
     /// Of these, those that hold a slot or go before what is late.
     pub urgent: usize,
-    /// Streams that are being written: context in tokens, longest pause in milliseconds, worth.
-    pub writers: Vec<(u64, f64, f64)>,
-    /// Streams that will be written once their prompts are read: as for writers.
-    pub coming: Vec<(u64, f64, f64)>,
+    /// Streams that are being written.
+    pub writers: Vec<StreamAtStake>,
+    /// Streams that will be written once their prompts are read.
+    pub coming: Vec<StreamAtStake>,
     /// Reading that is ahead of a new prompt, in milliseconds.
     pub backlog_ms: f64,
     /// Streams under way whose prompts are short.
@@ -143,7 +154,11 @@
         for f in flights {
             state.memory_used += f.held_tokens;
             let at_stake = if f.late { 0.0 } else { worth(f.prompt, f.output) };
-            let stream = (f.prompt + f.written, f.pause_limit_ms, at_stake);
+            let stream = StreamAtStake {
+                context: f.prompt + f.written,
+                pause_limit_ms: f.pause_limit_ms,
+                worth: at_stake,
+            };
             if f.written > 0 {
                 state.writers.push(stream);
             } else {
@@ -164,8 +179,7 @@
     }
 
     fn stride_ms(&self, model: &EngineModel) -> f64 {
-        let context = self.writers.iter().map(|(context, ..)| context).sum();
-        model.stride_ms(self.writers.len(), context)
+        stride_beside(model, &self.writers)
     }
 
     /// Memory that may still be promised, in tokens.
@@ -208,21 +222,26 @@
 }
 
 /// Worth that streams lose by one pause.
-fn late_worth(streams: &[(u64, f64, f64)], pause_ms: f64) -> f64 {
-    let late = streams.iter().filter(|(_, limit, _)| *limit > 0.0 && pause_ms > limit * SURE_PAUSE);
-    late.map(|(_, _, worth)| worth * LATE_LOSS).sum()
+fn late_worth(streams: &[StreamAtStake], pause_ms: f64) -> f64 {
+    let late =
+        |s: &&StreamAtStake| s.pause_limit_ms > 0.0 && pause_ms > s.pause_limit_ms * SURE_PAUSE;
+    streams.iter().filter(late).map(|s| s.worth * LATE_LOSS).sum()
+}
+
+/// Time of the steps of one pass with these writers, in milliseconds.
+fn stride_beside(model: &EngineModel, writers: &[StreamAtStake]) -> f64 {
+    model.stride_ms(writers.len(), writers.iter().map(|s| s.context).sum())
 }
 
 /// Reading that is left, if prompts are read one after the other since they were sent.
 fn remaining_reading(
     model: &EngineModel,
     now: Moment,
-    writers: &[(u64, f64, f64)],
+    writers: &[StreamAtStake],
     mut reading: Vec<&Flight>,
 ) -> f64 {
     reading.sort_by_key(|f| f.sent_at);
-    let context = writers.iter().map(|(context, ..)| context).sum();
-    let stride = if writers.is_empty() { 0.0 } else { model.stride_ms(writers.len(), context) };
+    let stride = if writers.is_empty() { 0.0 } else { stride_beside(model, writers) };
     let mut free_at = f64::NEG_INFINITY;
     let mut overdue = 0.0f64;
     for f in reading {
@@ -261,15 +280,36 @@
     pub late: bool,
 }
 
+/// Why a request is not sent to any engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// No engine can begin it in the time that is left.
+    TooLate,
+    /// It would make more late than it is worth.
+    Displaces,
+}
+
+impl RefusalCause {
+    /// Text for logs and answers.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::TooLate => "no engine can serve it in time",
+            Self::Displaces => "the engines are full, and it would make too many others late",
+        }
+    }
+}
+
 /// What is decided about a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     /// Send it.
     Send(Plan),
-    /// No engine can serve it in the time that is left; one could after this many milliseconds.
+    /// It had better come back.
     Refuse {
         /// Milliseconds until reading that is ahead will have ended.
         free_in_ms: f64,
+        /// Why.
+        cause: RefusalCause,
     },
     /// It needs more memory than one engine has or has free.
     TooLarge,
@@ -302,14 +342,15 @@
     let Some((_, plan)) = best else { return Decision::TooLarge };
     let after_ms = plan.first_token_ms - ask.objective_ms;
     if plan.first_token_ms > ask.left_ms * LEFT_SHARE {
-        return Decision::Refuse { free_in_ms: after_ms };
+        return Decision::Refuse { free_in_ms: after_ms, cause: RefusalCause::TooLate };
     }
     let late = plan.first_token_ms > ask.objective_ms;
     if is_short && late {
         return place_late(model, engines, ask, plan);
     }
     if !is_short && !pays(model, engines, ask, late) {
-        return Decision::Refuse { free_in_ms: mean_backlog(engines).max(after_ms) };
+        let free_in_ms = mean_backlog(engines).max(after_ms);
+        return Decision::Refuse { free_in_ms, cause: RefusalCause::Displaces };
     }
     Decision::Send(Plan { late, ..plan })
 }
@@ -323,7 +364,8 @@
     };
     let most = f64::from(model.slots) * (1.0 + LATE_WAITING_SHARE);
     if engines[first].flights as f64 >= most {
-        return Decision::Refuse { free_in_ms: LATE_RETURN_MS };
+        let cause = RefusalCause::TooLate;
+        return Decision::Refuse { free_in_ms: LATE_RETURN_MS, cause };
     }
     Decision::Send(Plan { first, helpers: Vec::new(), late: true, ..plan })
 }
