--- a/src/raft/replication.rs
+++ b/src/raft/replication.rs
@@ -223,7 +223,7 @@
         self.advance_commit(now);
     }
 
-    /// Notes that a replica followed up to a round, and dates the quorum's confirmation.
+    /// Notes that a replica followed up to a round, and when a quorum last followed.
     fn note_round(&mut self, from: ReplicaId, round: u64) {
         let progress = self.progress_entry(from);
         progress.round = progress.round.max(round);
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -687,7 +687,7 @@
     pub entries: ::prost::alloc::vec::Vec<Entry>,
     #[prost(uint64, tag = "4")]
     pub commit: u64,
-    /// Leader's round, echoed by the reply, that dates a quorum's confirmation.
+    /// Leader's round, echoed by the reply, that tells when a quorum last followed.
     #[prost(uint64, tag = "5")]
     pub round: u64,
 }
