Form the cluster of replicas that report; send on from hosts without a disk

At the small deployments the second host of a zone has no disk, and settings name any three hosts of control.

Change: replicas with a disk report to the smallest address of the settings, which decides once which of them form the cluster; control without a data folder keeps nothing and sends operators, announcements, joins and subscribers on to the replicas. Replicas tell those hosts where they are.

--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::core_config::Published;
+use super::founding::RollDesk;
 use crate::clock::boot_now;
 use crate::directory::Directory;
 use crate::event;
@@ -117,7 +118,7 @@
             document,
             announcements: inner.directory.all(),
             full: true,
-            control_addresses: addresses(&published),
+            replicas: published.replicas.clone(),
             ..News::default()
         };
         let subscriber = Subscriber { load_address, version, tx, cx: conn.cx.clone() };
@@ -168,8 +169,8 @@
             if let Some(document) = &document {
                 subscriber.version = document.version;
             }
-            let control_addresses = addresses(state);
-            subscriber.send(News { document, control_addresses, ..News::default() });
+            let replicas = state.replicas.clone();
+            subscriber.send(News { document, replicas, ..News::default() });
         }
     }
 }
@@ -179,10 +180,6 @@
     (state.in_touch && state.document.version > held).then(|| state.document.clone())
 }
 
-fn addresses(state: &Published) -> Vec<String> {
-    state.replicas.iter().map(|r| r.address.clone()).collect()
-}
-
 fn tell_load_addresses(inner: &Inner) {
     let all = inner.subscribers.values().map(|s| s.load_address.clone());
     let all: Vec<String> = all.filter(|a| !a.is_empty()).collect();
@@ -203,10 +200,13 @@
     }
 }
 
-/// Hands subscriptions and relayed announcements to a hub, and the rest to another handler.
+/// Hands subscriptions and relayed announcements to a hub, reports of a first start to the desk
+/// that counts them, and the rest to another handler.
 pub struct HubHandler {
     /// Takes subscriptions and announcements.
     pub hub: Arc<Hub>,
+    /// Takes the reports of replicas at a first start.
+    pub desk: RollDesk,
     /// Takes all other messages.
     pub rest: Arc<dyn Handler>,
 }
@@ -218,6 +218,7 @@
                 self.hub.subscribe(conn, call, s.load_address, s.document_version);
             }
             Body::Announcement(said) => self.hub.hear(said),
+            Body::RollCall(report) => self.desk.answer(conn, call, report),
             other => self.rest.on_message(conn, call, other),
         }
     }
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -13,6 +13,7 @@
 
 use super::core::{Core, CoreView, Input};
 use super::core_config::CoreConfig;
+use super::joining::ask_to_join;
 use super::peers::PeerSender;
 use super::roster::RosterConfig;
 use super::state::ControlState;
@@ -25,9 +26,8 @@
 use crate::process::{self, EndSignals, RunError};
 use crate::raft::{Raft, RaftConfig};
 use crate::settings::ControlSettings;
-use crate::wire::envelope::Body;
-use crate::wire::link::{Link, LinkConfig};
-use crate::wire::{Join, Replica};
+use crate::wire::Replica;
+use crate::wire::link::LinkConfig;
 
 /// Pause between tries to join a cluster.
 const JOIN_PAUSE: Duration = Duration::from_millis(300);
@@ -173,17 +173,3 @@
         sleep(JOIN_PAUSE).await;
     }
 }
-
-/// Asks a replica, or the one that leads it, to take another one in.
-pub(super) async fn ask_to_join(
-    addr: SocketAddr,
-    own: &Replica,
-    cfg: &LinkConfig,
-    cx: &CancellationToken,
-) -> bool {
-    let Ok(link) = Link::connect(addr, cfg, cx).await else { return false };
-    let join = Join { replica: Some(own.clone()), ask_only: false };
-    let answer = link.ask(Body::Join(join), cfg.connect_timeout).await;
-    link.close();
-    matches!(answer, Ok(Body::JoinReply(reply)) if reply.accepted)
-}
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -11,20 +11,19 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::core::{Answer, Core, Input};
 use super::core_config::{CoreConfig, OnWriteError, Published};
+use super::founding::{self, RollDesk};
 use super::hub::{Hub, HubHandler};
+use super::joining::{stay_joined, tell_seeds};
 use super::peers::PeerSender;
-use super::run::ask_to_join;
 use super::server;
 use super::state::ControlState;
 use super::store::{Opened, Store, StoreError};
 use crate::clock::boot_now;
 use crate::event;
 use crate::http::Readiness;
-use crate::ids::ReplicaId;
 use crate::metrics::Metrics;
 use crate::process::{self, RunError};
 use crate::raft::{Raft, RaftConfig};
@@ -32,9 +31,6 @@
 use crate::wire::link::{Link, LinkConfig};
 use crate::wire::{Announcement, Command, Document, Outcome, Replica, command};
 
-/// Pause between looks whether this replica has to ask to be taken in.
-const JOIN_PAUSE: Duration = Duration::from_millis(400);
-
 /// Pause before a data folder that could not be opened is tried again.
 const OPEN_PAUSE: Duration = Duration::from_millis(300);
 
@@ -60,9 +56,9 @@
     pub operators: SocketAddr,
     /// Data folder.
     pub data: PathBuf,
-    /// Own-process addresses of the replicas that found the cluster; empty unless the whole
-    /// system starts for the first time.
-    pub founders: Vec<SocketAddr>,
+    /// Host that counts the replicas which form the cluster; none unless the whole system
+    /// starts for the first time.
+    pub counting: Option<SocketAddr>,
     /// Addresses to ask for being taken in.
     pub seeds: SeedSource,
     /// Disks that may be lost at once.
@@ -98,7 +94,7 @@
         log: Logger,
         cx: CancellationToken,
     ) -> Result<Self, RunError> {
-        let link = build_link_config(&cfg.node);
+        let link = build_link_config(&cfg.node, "control");
         let opened = open_store(&cfg, &log).await;
         let own = Replica {
             id: opened.store.id(),
@@ -111,31 +107,39 @@
         let published = core.published();
         let (tx, rx) = channel();
         std::thread::spawn(move || core.run(rx));
-        if !cfg.founders.is_empty() {
-            let _ =
-                tx.send(Input::FoundWith(founding_members(&cfg.founders, cfg.operators.port())));
-        }
         let (relay, relayed) = mpsc::unbounded_channel();
         let hub = Hub::new(cfg.endpoint_silence, published.clone(), relay, log.clone());
         let hub = Arc::new(hub);
         tokio::spawn(Arc::clone(&hub).run(cx.clone()));
         let (listener, _) = process::bind(cfg.listen).await?;
         let rest = server::build_handler(tx.clone());
-        let handler = Arc::new(HubHandler { hub: Arc::clone(&hub), rest });
+        let desk = RollDesk::new(cfg.counting, cfg.listen, cfg.tolerance);
+        let handler = Arc::new(HubHandler { hub: Arc::clone(&hub), desk, rest });
         let serving =
             crate::wire::server::serve(listener, handler, link.clone(), log.clone(), cx.clone());
         tokio::spawn(serving);
-        let service = Self { core: tx, published, hub };
-        let peers = service.published.clone();
+        if let Some(counting) = cfg.counting {
+            let (core, published) = (tx.clone(), published.clone());
+            let (own, link, cx) = (own.clone(), link.clone(), cx.clone());
+            tokio::spawn(founding::report(counting, own, core, published, link, cx));
+        }
         tokio::spawn(relay_announcements(
             relayed,
-            peers,
+            published.clone(),
             own.address.clone(),
             link.clone(),
             cx.clone(),
         ));
-        tokio::spawn(service.clone().stay_joined(own, cfg.seeds, link, cx));
-        Ok(service)
+        let telling = tell_seeds(
+            published.clone(),
+            own.address.clone(),
+            Arc::clone(&cfg.seeds),
+            link.clone(),
+            cx.clone(),
+        );
+        tokio::spawn(telling);
+        tokio::spawn(stay_joined(published.clone(), own, cfg.seeds, link, cx));
+        Ok(Self { core: tx, published, hub })
     }
 
     /// Takes announcements.
@@ -206,38 +210,13 @@
         let replica = published.replicas.iter().find(|r| r.address == address)?;
         Some(replica.operators.clone())
     }
-
-    /// Asks to be taken in whenever this replica is outside or hears no leader.
-    async fn stay_joined(
-        self,
-        own: Replica,
-        seeds: SeedSource,
-        link: LinkConfig,
-        cx: CancellationToken,
-    ) {
-        while !cx.is_cancelled() {
-            sleep(JOIN_PAUSE).await;
-            let state = self.published();
-            let inside = state.replicas.iter().any(|r| r.id == own.id);
-            if inside && state.in_touch {
-                continue;
-            }
-            let known = state.replicas.iter().filter_map(|r| r.address.parse().ok());
-            let mut others: Vec<SocketAddr> = seeds().into_iter().chain(known).collect();
-            others.sort_unstable();
-            others.dedup();
-            others.retain(|a| a.to_string() != own.address);
-            for addr in others {
-                ask_to_join(addr, &own, &link, &cx).await;
-            }
-        }
-    }
 }
 
-fn build_link_config(node: &str) -> LinkConfig {
+/// Settings of links between the processes of control.
+pub fn build_link_config(node: &str, role: &str) -> LinkConfig {
     LinkConfig {
         node: node.to_owned(),
-        role: "control".into(),
+        role: role.to_owned(),
         max_frame: 16 * 1024 * 1024,
         connect_timeout: Duration::from_millis(500),
         keepalive: Duration::from_millis(400),
@@ -245,31 +224,10 @@
     }
 }
 
-/// Identity of a founder; each derives that of the others from their addresses.
-fn founder_id(addr: &SocketAddr) -> ReplicaId {
-    xxh3_64(addr.to_string().as_bytes()).max(1)
-}
-
-/// All replicas take operators at the same port.
-fn founding_members(founders: &[SocketAddr], operators_port: u16) -> Vec<Replica> {
-    let mut sorted = founders.to_vec();
-    sorted.sort_unstable();
-    let build = |addr: &SocketAddr| Replica {
-        id: founder_id(addr),
-        address: addr.to_string(),
-        operators: SocketAddr::new(addr.ip(), operators_port).to_string(),
-        voter: true,
-        ..Replica::default()
-    };
-    sorted.iter().map(build).collect()
-}
-
 /// Opens the folder; one that lost synced data is given up, so that a new member comes back.
 async fn open_store(cfg: &ServiceSettings, log: &Logger) -> Opened {
-    let founds = cfg.founders.contains(&cfg.listen);
-    let founder = founds.then(|| founder_id(&cfg.listen));
     loop {
-        let reason = match Store::open_as(&cfg.data, founder) {
+        let reason = match Store::open(&cfg.data) {
             Ok(opened) => return opened,
             Err(reason) => reason,
         };
--- a/src/control/store.rs
+++ b/src/control/store.rs
@@ -77,19 +77,11 @@
     /// # Errors
     /// Fails when the folder is in use, cannot be written, or lost synced data.
     pub fn open(folder: &Path) -> Result<Opened, StoreError> {
-        Self::open_as(folder, None)
-    }
-
-    /// Opens or creates a data folder; a new one gets the given identity.
-    ///
-    /// # Errors
-    /// Fails when the folder is in use, cannot be written, or lost synced data.
-    pub fn open_as(folder: &Path, founder: Option<ReplicaId>) -> Result<Opened, StoreError> {
         fs::create_dir_all(folder).context(IoSnafu { path: folder })?;
         let lock = lock_folder(folder)?;
         let id = match read_identity(folder)? {
             Some(id) => id,
-            None => create_identity(folder, founder)?,
+            None => create_identity(folder)?,
         };
         let snapshot = read_snapshot(&folder.join("snapshot"))?;
         let path = folder.join("log");
@@ -255,8 +247,8 @@
 }
 
 /// Creates the log before the identity, so that an identity without a log shows a loss.
-fn create_identity(folder: &Path, founder: Option<ReplicaId>) -> Result<ReplicaId, StoreError> {
-    let id = founder.unwrap_or_else(|| rand::rng().random_range(1..=u64::MAX));
+fn create_identity(folder: &Path) -> Result<ReplicaId, StoreError> {
+    let id = rand::rng().random_range(1..=u64::MAX);
     replace_file(folder, "log", b"").context(IoSnafu { path: folder.join("log") })?;
     let text = format!("{id:016x}\n");
     replace_file(folder, "identity", text.as_bytes())
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,12 +15,13 @@
 use tokio_util::sync::CancellationToken;
 
 use super::answers::{self, AnswerBody};
-use super::follow::Follower;
+use super::follow::GatewayListener;
 use super::handler;
 use super::share::{self, Others};
 use super::state::Gateway;
 use crate::clock::boot_now;
-use crate::control::service::SeedSource;
+use crate::control::follow::{Follower, Listener};
+use crate::control::service::{SeedSource, build_link_config};
 use crate::event;
 use crate::http::{self, Readiness};
 use crate::process::{self, EndSignals, RunError};
@@ -69,8 +70,13 @@
         Arc::new(socket.map_err(|source| RunError::Listen { addr: addresses.load, source })?);
     let cx = CancellationToken::new();
     let others = Arc::new(Others::default());
-    let follower =
-        Follower::new(Arc::clone(&gateway), Arc::clone(&others), addresses.load, cx.clone());
+    let listener = Arc::new(GatewayListener {
+        gateway: Arc::clone(&gateway),
+        others: Arc::clone(&others),
+        load_address: addresses.load,
+    });
+    let link = build_link_config(&gateway.cfg.node, "entry");
+    let follower = Follower::new(listener as Arc<dyn Listener>, link, cx.clone());
     tokio::spawn(follower.run(seeds));
     tokio::spawn(share::tell(Arc::clone(&gateway), Arc::clone(&socket), others, cx.clone()));
     tokio::spawn(share::hear(Arc::clone(&gateway), socket, cx.clone()));
@@ -107,6 +113,7 @@
         readiness.set(is_ready(&gateway));
         gateway.pool.sweep();
         gateway.flights.lock().sweep(boot_now());
+        gateway.endpoints.lock().sweep(boot_now());
         gateway.metrics.in_flight.set(gateway.flights.lock().own_count() as i64);
         gateway.metrics.entries.set(gateway.flights.lock().entries() as i64);
         let endpoints = gateway.endpoints.lock();
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::document;
+use crate::control::relay::ControlRelay;
 use crate::control::service::{CallError, ControlService};
 use crate::event;
 use crate::wire::{Announcement, Document, Standing};
@@ -30,6 +32,8 @@
 const BODY_LIMIT: Duration = Duration::from_secs(5);
 /// Largest body of a call in bytes.
 const BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time that a connection is idle.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
@@ -75,7 +79,7 @@
             Ok((stream, _)) => {
                 tokio::spawn(serve_one(stream, service.clone(), log.clone()));
             }
-            Err(_) => sleep(Duration::from_millis(20)).await,
+            Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
@@ -91,6 +95,41 @@
     let _ = conn.await;
 }
 
+/// Sends callers on to a replica until cancelled; used where there is no disk.
+pub async fn serve_relay(listener: TcpListener, relay: Arc<ControlRelay>, cx: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            () = cx.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let relay = Arc::clone(&relay);
+        tokio::spawn(async move {
+            let handler = service_fn(move |req| send_on(Arc::clone(&relay), req));
+            let conn = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_LIMIT)
+                .serve_connection(TokioIo::new(stream), handler);
+            // A caller that leaves or sends no HTTP ends only its own connection.
+            let _ = conn.await;
+        });
+    }
+}
+
+async fn send_on(relay: Arc<ControlRelay>, req: Request<Incoming>) -> Result<Answer, Infallible> {
+    let (head, body) = req.into_parts();
+    // The body is read so that the caller sees the answer and not a reset.
+    let read = timeout(BODY_LIMIT, Limited::new(body, BODY_BYTES).collect()).await;
+    if !matches!(read, Ok(Ok(_))) {
+        return Ok(plain(StatusCode::BAD_REQUEST, "the body is not complete or too large"));
+    }
+    Ok(redirect(relay.pick(), head.uri.path(), "a replica answers this"))
+}
+
 async fn answer(
     service: ControlService,
     log: Logger,
@@ -164,7 +203,7 @@
             event!(log, DocumentAccepted, "version" => version, "held" => outcome.number);
             json(Bytes::from_static(b"{}"))
         }
-        Err(e) => redirect(e),
+        Err(e) => redirect_to_leader(e),
     }
 }
 
@@ -172,16 +211,24 @@
     match service.read().await {
         Ok(document) if document.version > 0 => json(document.body),
         Ok(_) => unavailable("there is no document yet"),
-        Err(e) => redirect(e),
+        Err(e) => redirect_to_leader(e),
     }
 }
 
-fn redirect(error: CallError) -> Answer {
-    let CallError::Elsewhere(Some(address)) = error else {
-        return unavailable("no leader can answer now");
+fn redirect_to_leader(error: CallError) -> Answer {
+    let leader = match error {
+        CallError::Elsewhere(address) => address,
+        CallError::TimedOut => None,
+    };
+    redirect(leader, DOCUMENT_PATH, "the leader answers this")
+}
+
+fn redirect(address: Option<String>, path: &str, reason: &str) -> Answer {
+    let Some(address) = address else {
+        return unavailable("no replica that could answer is known now");
     };
-    let mut answer = plain(StatusCode::TEMPORARY_REDIRECT, "the leader answers this");
-    if let Ok(value) = HeaderValue::from_str(&format!("http://{address}{DOCUMENT_PATH}")) {
+    let mut answer = plain(StatusCode::TEMPORARY_REDIRECT, reason);
+    if let Ok(value) = HeaderValue::from_str(&format!("http://{address}{path}")) {
         answer.headers_mut().insert(header::LOCATION, value);
     }
     answer
--- a/src/platform/roles.rs
+++ b/src/platform/roles.rs
@@ -1,5 +1,6 @@
 //! Starts the roles from the platform's settings file.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 
@@ -10,6 +11,7 @@
 use super::control;
 use super::headers::PlatformDialect;
 use super::settings::{PlatformSettings, follow_seeds};
+use crate::control::relay::{ControlRelay, RelaySettings};
 use crate::control::service::{ControlService, ServiceSettings};
 use crate::event;
 use crate::gateway::run::{self, GatewayAddresses};
@@ -51,7 +53,7 @@
     run::run(gateway, addresses, follow_seeds(path, settings)).await
 }
 
-/// Runs a control replica.
+/// Runs a control replica, or a relay on a host without a disk.
 ///
 /// # Errors
 /// An address could not be bound, or the settings name none.
@@ -65,27 +67,24 @@
     let cx = CancellationToken::new();
     let operators = settings.operators.unwrap_or((settings.ip, 0).into());
     let (listener, addr) = process::bind(operators).await?;
-    let founders = if settings.first_start { settings.seed_addresses() } else { Vec::new() };
-    let settings_ip = settings.ip;
-    let cfg = ServiceSettings {
-        node: settings.node.to_string(),
-        zone: settings.zone.to_string(),
-        listen: settings.control_address(),
-        operators: addr,
-        data: settings.data.clone().unwrap_or_else(|| PathBuf::from("data")),
-        founders,
-        tolerance: settings.tolerance,
-        endpoint_silence: settings.endpoint_silence,
-        seeds: follow_seeds(path, settings),
-    };
-    let metrics_address = (settings_ip, CONTROL_METRICS_PORT).into();
+    let metrics_address = (settings.ip, CONTROL_METRICS_PORT).into();
     let (metrics_listener, _) = process::bind(metrics_address).await?;
-    let service = ControlService::start(cfg, log.clone(), cx.clone()).await?;
     let (readiness, metrics) = (Readiness::default(), Arc::new(Metrics::default()));
     let probes = http::add_probes(viz::Router::new(), readiness.clone(), Arc::clone(&metrics));
     tokio::spawn(http::serve(metrics_listener, probes, cx.clone()));
-    tokio::spawn(service.clone().count(readiness, metrics, cx.clone()));
-    tokio::spawn(control::serve(listener, service, log.clone(), cx.clone()));
+    match settings.data.clone() {
+        Some(data) => {
+            let cfg = build_service_settings(settings, path, data, addr);
+            let service = ControlService::start(cfg, log.clone(), cx.clone()).await?;
+            tokio::spawn(service.clone().count(readiness, metrics, cx.clone()));
+            tokio::spawn(control::serve(listener, service, log.clone(), cx.clone()));
+        }
+        None => {
+            let cfg = build_relay_settings(settings, path);
+            let relay = ControlRelay::start(cfg, readiness, log.clone(), cx.clone()).await?;
+            tokio::spawn(control::serve_relay(listener, relay, cx.clone()));
+        }
+    }
     event!(log, ProcessStarted, "address" => addr.to_string());
     signals.next().await;
     event!(log, ProcessDraining);
@@ -94,6 +93,35 @@
     Ok(())
 }
 
+fn build_service_settings(
+    settings: PlatformSettings,
+    path: PathBuf,
+    data: PathBuf,
+    operators: SocketAddr,
+) -> ServiceSettings {
+    ServiceSettings {
+        node: settings.node.to_string(),
+        zone: settings.zone.to_string(),
+        listen: settings.control_address(),
+        operators,
+        data,
+        counting: settings.counting_address(),
+        tolerance: settings.tolerance,
+        endpoint_silence: settings.endpoint_silence,
+        seeds: follow_seeds(path, settings),
+    }
+}
+
+fn build_relay_settings(settings: PlatformSettings, path: PathBuf) -> RelaySettings {
+    RelaySettings {
+        node: settings.node.to_string(),
+        listen: settings.control_address(),
+        counting: settings.counting_address(),
+        tolerance: settings.tolerance,
+        seeds: follow_seeds(path, settings),
+    }
+}
+
 /// Keeps the process running on SIGHUP; the settings file is looked at all the time anyway.
 fn follow_hangups(log: Logger) -> Result<(), RunError> {
     let mut hangups =
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -132,6 +132,12 @@
         SocketAddr::new(self.ip, self.first_port + 1)
     }
 
+    /// Address of the replica that counts the others when the whole system starts for the first
+    /// time.
+    pub fn counting_address(&self) -> Option<SocketAddr> {
+        if self.first_start { self.seed_addresses().into_iter().min() } else { None }
+    }
+
     /// Own-process addresses of the seeds.
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
         self.seeds.iter().map(|s| SocketAddr::new(s.ip(), self.first_port)).collect()
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -6,7 +6,7 @@
     pub call: u64,
     #[prost(
         oneof = "envelope::Body",
-        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52, 53, 54, 55, 56"
+        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52, 53, 54, 55, 56, 57, 58"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -71,6 +71,10 @@
         Announcement(super::Announcement),
         #[prost(message, tag = "56")]
         SharedLoad(super::SharedLoad),
+        #[prost(message, tag = "57")]
+        RollCall(super::RollCall),
+        #[prost(message, tag = "58")]
+        Founders(super::Founders),
     }
 }
 /// First frame in each direction: protocol version and who speaks.
@@ -887,9 +891,21 @@
     pub load_addresses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(bool, tag = "5")]
     pub load_addresses_changed: bool,
-    /// Addresses of all control replicas, when they changed.
-    #[prost(string, repeated, tag = "6")]
-    pub control_addresses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// All control replicas, when they changed.
+    #[prost(message, repeated, tag = "6")]
+    pub replicas: ::prost::alloc::vec::Vec<Replica>,
+}
+/// A replica that starts together with the whole system reports to the one that counts them.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RollCall {
+    #[prost(message, optional, tag = "1")]
+    pub replica: ::core::option::Option<Replica>,
+}
+/// Answer to a roll call: the voters that form the cluster, or nothing while that is open.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Founders {
+    #[prost(message, repeated, tag = "1")]
+    pub voters: ::prost::alloc::vec::Vec<Replica>,
 }
 /// All that one entry has under way at endpoints, sent to the other entries.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -5,7 +5,7 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 
-use crate::world::{World, wait_until};
+use crate::world::{Layout, World, wait_until};
 
 async fn read_version(world: &World, at: usize) -> Option<u64> {
     world.read_at(at).await.and_then(|d| d["Version"].as_u64())
@@ -67,7 +67,7 @@
     for at in 0..3 {
         world.controls[at].kill();
         std::fs::remove_dir_all(world.data_folder(at)).unwrap();
-        world.write_settings("control", at, false, 3);
+        world.write_settings("control", at, false);
         world.controls[at].restart();
         let next = world.document();
         world.put(&next).await;
@@ -185,3 +185,93 @@
     world.controls[0].restart();
     wait_until("the document", async || world.read_at(0).await == Some(second.clone())).await;
 }
+
+/// Three replicas, and three hosts without a disk that alone are named in the settings.
+fn only_relays_named(entries: usize) -> Layout {
+    Layout { controls: 6, disks: 3, entries, seeds: vec![3, 4, 5], tolerance: 1 }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cluster_forms_though_the_settings_name_no_host_with_a_disk() {
+    let mut world = World::start_as(only_relays_named(1)).await;
+    let document = world.document();
+    world.put(&document).await;
+    for at in 0..6 {
+        wait_until("the document", async || world.read_at(at).await == Some(document.clone()))
+            .await;
+    }
+    wait_until("readiness", async || world.readiness(0).await == 200).await;
+    let formed = (0..3).filter(|at| !world.controls[*at].log_lines("E308").is_empty()).count();
+    assert_eq!(formed, 3, "replicas that formed the cluster");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_find_the_replicas_again_though_the_settings_name_no_host_with_a_disk() {
+    let mut world = World::start_as(only_relays_named(1)).await;
+    let document = world.document();
+    world.put(&document).await;
+    wait_until("readiness", async || world.readiness(0).await == 200).await;
+    for at in 0..6 {
+        world.controls[at].kill();
+        world.write_settings("control", at, false);
+    }
+    world.entries[0].kill();
+    for at in 0..6 {
+        world.controls[at].restart();
+    }
+    world.entries[0].restart();
+    wait_until("readiness", async || world.readiness(0).await == 200).await;
+    wait_until("the document at a relay", async || {
+        world.read_at(4).await == Some(document.clone())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_that_lost_its_disk_comes_back_over_a_host_without_one() {
+    let mut world = World::start_as(only_relays_named(0)).await;
+    let document = world.document();
+    world.put(&document).await;
+    world.controls[0].kill();
+    std::fs::remove_dir_all(world.data_folder(0)).unwrap();
+    for at in 0..6 {
+        world.write_settings("control", at, false);
+    }
+    world.controls[0].restart();
+    wait_until("the wiped replica's return", async || {
+        !world.controls[0].log_lines("E307").is_empty()
+            && world.read_at(0).await == Some(document.clone())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_lost_disks_at_once_lose_nothing_where_two_may_be_lost() {
+    let seeds = vec![0, 2, 4];
+    let layout = Layout { controls: 6, disks: 6, entries: 0, seeds, tolerance: 2 };
+    let mut world = World::start_as(layout).await;
+    for round in 0..3 {
+        let document = world.document();
+        world.put(&document).await;
+        let lost = [2 * round, 2 * round + 1];
+        for at in lost {
+            world.controls[at].kill();
+            std::fs::remove_dir_all(world.data_folder(at)).unwrap();
+            world.write_settings("control", at, false);
+        }
+        let others = (lost[1] + 1) % 6;
+        wait_until("the document without two replicas", async || {
+            world.read_at(others).await == Some(document.clone())
+        })
+        .await;
+        for at in lost {
+            world.controls[at].restart();
+        }
+        for at in 0..6 {
+            wait_until("the document", async || world.read_at(at).await == Some(document.clone()))
+                .await;
+        }
+        // Replicas count again once they have caught up and votes are given to five of them.
+        tokio::time::sleep(Duration::from_secs(4)).await;
+    }
+}
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -91,28 +91,49 @@
     }
 }
 
+/// How many hosts of which kind there are, and which the settings name.
+#[derive(Clone)]
+pub struct Layout {
+    /// Hosts of control, the first of which have a disk.
+    pub controls: usize,
+    pub disks: usize,
+    pub entries: usize,
+    /// Hosts of control that the settings name.
+    pub seeds: Vec<usize>,
+    pub tolerance: usize,
+}
+
 /// A small installation.
 pub struct World {
     pub dir: TempDir,
     pub controls: Vec<Process>,
     pub entries: Vec<Process>,
+    layout: Layout,
     net: u8,
     version: u64,
 }
 
 impl World {
-    /// Starts control replicas and entries, and waits until a document is acknowledged.
+    /// Starts control replicas, all named as seeds, and entries.
     pub async fn start(controls: usize, entries: usize) -> Self {
+        let seeds = (0..controls).collect();
+        let tolerance = controls / 2;
+        Self::start_as(Layout { controls, disks: controls, entries, seeds, tolerance }).await
+    }
+
+    /// Starts processes on the hosts of a layout.
+    pub async fn start_as(layout: Layout) -> Self {
         let dir = tempfile::tempdir().unwrap();
         let net = NEXT_WORLD.fetch_add(1, Ordering::Relaxed);
-        let mut world = Self { dir, controls: vec![], entries: vec![], net, version: 0 };
+        let Layout { controls, entries, .. } = layout;
+        let mut world = Self { dir, controls: vec![], entries: vec![], layout, net, version: 0 };
         for at in 0..controls {
-            let settings = world.write_settings("control", at, true, controls);
+            let settings = world.write_settings("control", at, true);
             let log = world.dir.path().join(format!("control-{at}.log"));
             world.controls.push(Process::start("control", settings, log));
         }
         for at in 0..entries {
-            let settings = world.write_settings("entry", 10 + at, true, controls);
+            let settings = world.write_settings("entry", 10 + at, true);
             let log = world.dir.path().join(format!("entry-{at}.log"));
             world.entries.push(Process::start("entry", settings, log));
         }
@@ -135,22 +156,24 @@
     }
 
     /// Writes the settings of a process as the platform does.
-    pub fn write_settings(&self, role: &str, host: usize, first: bool, controls: usize) -> PathBuf {
+    pub fn write_settings(&self, role: &str, host: usize, first: bool) -> PathBuf {
         let ip = self.ip(host);
+        let seeds = self.layout.seeds.iter();
         let seeds: Vec<String> =
-            (0..controls).map(|at| format!("{}:{OPERATORS_PORT}", self.ip(at))).collect();
+            seeds.map(|at| format!("{}:{OPERATORS_PORT}", self.ip(*at))).collect();
         let listen = match role {
             "entry" => json!({
                 "Frontend": format!("{ip}:{CALLERS_PORT}"), "Ready": format!("{ip}:{READY_PORT}"),
             }),
             _ => json!({ "ControlPlane": format!("{ip}:{OPERATORS_PORT}") }),
         };
-        let data = (role == "control").then(|| self.data_folder(host));
+        let has_disk = role == "control" && host < self.layout.disks;
+        let data = has_disk.then(|| self.data_folder(host));
         let settings = json!({
             "NodeName": format!("{role}-{host}"), "Role": role, "Ip": ip, "Zone": "zone-a",
             "Listen": listen, "PortRange": [FIRST_PORT, FIRST_PORT + 15], "Seeds": seeds,
             "Bootstrap": first, "DataDir": data, "HeartbeatMs": 400,
-            "FaultTolerance": { "Machines": controls / 2 },
+            "FaultTolerance": { "Machines": self.layout.tolerance },
             "Bounds": { "GraceS": 8, "RetryRatio": 0.2, "RetryWindowS": 10, "RetrySlack": 100 },
             "Unknown": { "Later": true },
         });
