--- a/src/control/founding.rs
+++ b/src/control/founding.rs
@@ -36,7 +36,7 @@
 /// use bitternlead::wire::Replica;
 ///
 /// let mut roll = Roll::new(1, Duration::ZERO);
-/// let replica = |id| Replica { id, ..Replica::default() };
+/// let replica = |id| Replica { id, address: format!("10.0.0.{id}:7340"), ..Replica::default() };
 /// assert!(roll.hear(Duration::ZERO, replica(1)).is_empty());
 /// assert!(roll.hear(Duration::ZERO, replica(2)).is_empty());
 /// assert_eq!(roll.hear(Duration::ZERO, replica(3)).len(), 3);
@@ -73,7 +73,7 @@
         let waited = now.saturating_sub(self.started) >= GATHER;
         let present = self.present.len();
         if present >= wanted || waited && present > self.tolerance {
-            let odd = if present % 2 == 0 { present - 1 } else { present };
+            let odd = if present.is_multiple_of(2) { present - 1 } else { present };
             let most = odd.min(wanted).max(self.tolerance + 1);
             self.founders = self.present.iter().take(most).cloned().collect();
             self.founders.sort_by_key(|r| r.id);
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -1,15 +1,16 @@
 //! Chooses the endpoint of a request, engines that help, and the memory that it needs.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::RngExt;
 use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::config::Repeat;
+use super::engine_state::{EngineState, build_states};
 use super::flights::Flight;
 use super::handler::Task;
-use super::placement::{self, Ask, Decision, EngineState, Plan};
+use super::placement::{self, Ask, Decision, Plan};
 use super::reservation::Reservation;
 use super::state::{Endpoint, FlightGuard};
 use crate::clock::boot_now;
@@ -28,6 +29,9 @@
 /// Shortest time that a request is told to stay away while engines are busy, in milliseconds.
 const LEAST_AWAY_MS: f64 = 100.0;
 
+/// Part of a route's time below which a caller's time shows that it was turned away before.
+const WHOLE_PATIENCE: f64 = 0.97;
+
 /// Time after which memory that is not free is asked for again.
 const MEMORY_AWAY: Duration = Duration::from_millis(400);
 
@@ -55,6 +59,8 @@
     Placed(Box<Placed>),
     /// No endpoint takes work now.
     Nowhere,
+    /// It had better wait so long before it is decided anew.
+    Wait(Duration),
     /// It cannot be served; it may come back after this time.
     Refused(Duration, &'static str),
 }
@@ -64,7 +70,7 @@
     pub async fn choose_next(&self) -> Option<Placed> {
         match self.choose().await {
             Choice::Placed(placed) => Some(*placed),
-            Choice::Nowhere | Choice::Refused(..) => None,
+            Choice::Nowhere | Choice::Wait(_) | Choice::Refused(..) => None,
         }
     }
 
@@ -143,19 +149,25 @@
         };
         let waited = now.saturating_sub(self.started).as_secs_f64() * 1000.0;
         let objective = self.route.objective.as_secs_f64() * 1000.0;
-        let ask = Ask {
+        let mut ask = Ask {
+            request: xxh3_64(self.caller.id.as_bytes()),
             prompt: tokens.prompt,
             output: tokens.output,
             objective_ms: (objective - waited).max(1.0),
             pause_limit_ms: self.route.pause_limit.as_secs_f64() * 1000.0,
+            usual_backlog_ms: 0.0,
+            comes_back: self.comes_back(),
             left_ms: self.left().as_secs_f64() * 1000.0,
         };
         let engines = self.engine_states(now, &candidates);
+        let backlog = placement::mean_backlog(&engines);
+        ask.usual_backlog_ms = self.gateway.usual_backlog.lock().note(now, backlog);
         match placement::decide(model, &engines, &ask) {
             Decision::Send(plan) => {
                 self.log_placed(&engines, &ask, &plan);
-                self.place(now, &candidates, &ask, plan).await
+                self.place(now, &candidates, &engines, &ask, plan).await
             }
+            Decision::Hold(ms) => Choice::Wait(Duration::from_secs_f64(ms / 1000.0)),
             Decision::Refuse { free_in_ms, cause } => {
                 let after = Duration::from_secs_f64(free_in_ms.max(LEAST_AWAY_MS) / 1000.0);
                 Choice::Refused(after, cause.text())
@@ -166,6 +178,11 @@
         }
     }
 
+    /// Callers that were turned away have less time left than their route gives.
+    fn comes_back(&self) -> bool {
+        self.caller.patience.is_some_and(|p| p < self.route.timeout.mul_f64(WHOLE_PATIENCE))
+    }
+
     /// Logs where a request goes, and what decided it.
     fn log_placed(&self, engines: &[EngineState], ask: &Ask, plan: &Plan) {
         let engine = &engines[plan.first];
@@ -173,32 +190,22 @@
         event!(self.gateway.log, RequestPlaced, "request" => self.caller.id.as_str(),
             "endpoint" => engine.id.as_str(), "prompt" => ask.prompt,
             "helpers" => helpers.join(","), "predicted_ms" => plan.first_token_ms as u64,
-            "read_ms" => plan.part_ms as u64, "backlog_ms" => engine.backlog_ms as u64,
+            "read_ms" => plan.part_ms as u64, "backlog_ms" => engine.backlog_ms() as u64,
             "writers" => engine.writers.len(), "flights" => engine.flights,
             "memory_used" => engine.memory_used, "slowness" => engine.slowness,
             "failing" => engine.failing, "objective_ms" => ask.objective_ms as u64);
     }
 
     /// Notes the sends of a plan and reserves the memory that it needs at helpers.
-    async fn place(&self, now: Moment, candidates: &[Endpoint], ask: &Ask, plan: Plan) -> Choice {
-        let need = ask.prompt + ask.output;
-        let at_helpers: u64 = plan.helpers.iter().map(|h| h.held_tokens).sum();
-        let width = (plan.helpers.len() + 1) as u64;
-        let flight = |at: usize, helps: bool, held_tokens: u64| Flight {
-            endpoint: candidates[at].id.clone(),
-            prompt: ask.prompt,
-            output: ask.output,
-            read_tokens: ask.prompt / width,
-            read_ms: plan.part_ms,
-            sent_at: now,
-            written: 0,
-            pause_limit_ms: ask.pause_limit_ms,
-            held_tokens,
-            helps,
-            late: plan.late,
-        };
-        let mut flights = vec![flight(plan.first, false, need.saturating_sub(at_helpers))];
-        flights.extend(plan.helpers.iter().map(|h| flight(h.at, true, h.held_tokens)));
+    async fn place(
+        &self,
+        now: Moment,
+        candidates: &[Endpoint],
+        engines: &[EngineState],
+        ask: &Ask,
+        plan: Plan,
+    ) -> Choice {
+        let flights = plan.flights(engines, ask, now);
         let flights = self.gateway.start_flights(flights);
         let wanted = plan.helpers.iter().filter(|h| h.held_tokens > 0);
         let wanted: Vec<(Endpoint, u64)> =
@@ -230,19 +237,13 @@
         let model = self.service.engine.clone().unwrap_or_default();
         let flights = self.gateway.flights.lock();
         let health = self.gateway.health.lock();
-        let mut by_endpoint: HashMap<&str, Vec<&Flight>> = HashMap::new();
-        for f in flights.all() {
-            by_endpoint.entry(f.endpoint.as_str()).or_default().push(f);
-        }
-        let none = Vec::new();
+        let ids = candidates.iter().map(|e| &e.id);
+        let mut states = build_states(&model, now, ids, flights.all());
         let (near, far) = ROUND_TRIPS_MS;
-        let build = |e: &Endpoint| {
-            let there = by_endpoint.get(e.id.as_str()).unwrap_or(&none);
-            let (failing, slowness) = health.view(now, &e.id);
-            let round_trip_ms = if e.zone == self.gateway.cfg.zone { near } else { far };
-            let state = EngineState::of(e.id.clone(), &model, now, there);
-            EngineState { failing, slowness, round_trip_ms, ..state }
-        };
-        candidates.iter().map(build).collect()
+        for (state, e) in states.iter_mut().zip(candidates) {
+            (state.failing, state.slowness) = health.view(now, &e.id);
+            state.round_trip_ms = if e.zone == self.gateway.cfg.zone { near } else { far };
+        }
+        states
     }
 }
--- a/src/gateway/engine_model.rs
+++ b/src/gateway/engine_model.rs
@@ -71,20 +71,20 @@
         f64::from(self.stride) * (self.step_ms + writing)
     }
 
+    /// Most tokens that one pass with writers reads.
+    pub fn pass_tokens(&self) -> f64 {
+        f64::from(self.chunk) * f64::from(self.stride)
+    }
+
     /// Longest reading in one pass with writers, for `tokens` that take `read_ms` in all.
     pub fn pass_read_ms(&self, tokens: u64, read_ms: f64) -> f64 {
-        let per_pass = f64::from(self.chunk) * f64::from(self.stride);
+        let per_pass = self.pass_tokens();
         if tokens as f64 <= per_pass { read_ms } else { read_ms * per_pass / tokens as f64 }
     }
 
-    /// Longest reading in one pass with writers, pairs left out.
-    pub fn most_pass_read_ms(&self) -> f64 {
-        f64::from(self.chunk) * f64::from(self.stride) / self.read_tokens_per_ms
-    }
-
     /// Passes that reading so many tokens takes beside writers.
     pub fn passes(&self, tokens: u64) -> f64 {
-        let per_pass = f64::from(self.chunk) * f64::from(self.stride);
+        let per_pass = self.pass_tokens();
         (tokens as f64 / per_pass).ceil().max(1.0)
     }
 }
--- a/src/gateway/flights.rs
+++ b/src/gateway/flights.rs
@@ -23,6 +23,8 @@
 pub struct Flight {
     /// Endpoint.
     pub endpoint: EndpointId,
+    /// Request that it belongs to, by a hash of its id.
+    pub request: u64,
     /// Prompt tokens.
     pub prompt: u64,
     /// Most output tokens.
@@ -41,6 +43,10 @@
     pub held_tokens: u64,
     /// Whether the endpoint only reads a part of the prompt for another one.
     pub helps: bool,
+    /// Whether several endpoints read the prompt.
+    pub shared: bool,
+    /// Time within which its first token was worth most when it was sent, in milliseconds.
+    pub objective_ms: f64,
     /// Whether it is late already, and so waits for others.
     pub late: bool,
 }
@@ -128,6 +134,9 @@
         held_tokens: f.held_tokens as u32,
         helps: f.helps,
         late: f.late,
+        request: f.request,
+        shared: f.shared,
+        objective_ms: f.objective_ms as u32,
     }
 }
 
@@ -144,5 +153,8 @@
         held_tokens: u64::from(f.held_tokens),
         helps: f.helps,
         late: f.late,
+        request: f.request,
+        shared: f.shared,
+        objective_ms: f64::from(f.objective_ms),
     }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -195,6 +195,10 @@
                 sleep(LOOK_AGAIN).await;
                 continue;
             }
+            Choice::Wait(time) => {
+                sleep(time).await;
+                continue;
+            }
             Choice::Refused(after, reason) => {
                 return failed.unwrap_or_else(|| task.refuse(reason, after));
             }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -5,11 +5,13 @@
 //! engines, so that the others are free for long reading, which would stretch the pauses of
 //! streams on the same engine. Long reading is spread over engines that it harms least.
 
-use crate::directory::EndpointId;
-use crate::ids::Moment;
+use std::collections::HashMap;
 
 use super::engine_model::EngineModel;
+use super::engine_state::{EngineState, HARMLESS_PART_MS, LEAST_SHORT_SET, NewRead, StreamAtStake};
 use super::flights::Flight;
+use super::worth::{LATE_LOSS, probable_loss, worth};
+use crate::ids::Moment;
 
 /// Late requests that may wait at one engine, as a share of its slots.
 const LATE_WAITING_SHARE: f64 = 0.75;
@@ -21,22 +23,13 @@
 const BUSY_SHARE: f64 = 0.3;
 
 /// Worth that an engine yields in a second of long reading when the fleet is full.
-const WORTH_PER_S: f64 = 3.0;
+const WORTH_PER_S: f64 = 10.0;
 
-/// Share of memory that is never promised, since lengths are estimates.
-const MEMORY_MARGIN: f64 = 0.03;
+/// Part of that which is asked of a prompt whose caller comes back, so that all sizes are served.
+const RETURN_SHARE: f64 = 0.65;
 
 /// Streams that are planned for each engine kept for short prompts, as a share of its slots.
-const PACKED_SHARE: f64 = 0.8;
-
-/// Least number of engines kept for short prompts, up to a third of all.
-const LEAST_SHORT_SET: usize = 3;
-
-/// Reading beside short streams that does not stretch their pauses too far, in milliseconds.
-const HARMLESS_PART_MS: f64 = 80.0;
-
-/// Share of a pause limit up to which a predicted pause counts as harmless.
-const SURE_PAUSE: f64 = 0.85;
+const PACKED_SHARE: f64 = 0.65;
 
 /// Share of the slots above which each further stream counts as crowded.
 const CROWDED_SHARE: f64 = 0.75;
@@ -44,11 +37,14 @@
 /// Worth that is set against each stream above that.
 const CROWDED_COST: f64 = 0.1;
 
-/// Time until a slot of a full engine is free, for each stream that waits, in milliseconds.
-const SLOT_WAIT_MS: f64 = 150.0;
+/// Time after which it is decided anew about a prompt that waits here, in milliseconds.
+const HOLD_MS: f64 = 40.0;
+
+/// Part of a prompt's worth that others may lose by it without its waiting for them.
+const HARMLESS_SHARE: f64 = 0.2;
 
-/// Share of the objective within which a prediction counts as in time for sure.
-const SURE_SHARE: f64 = 0.6;
+/// Part of the objective within which the first token has to be predicted for a prompt to wait.
+const WAIT_SHARE: f64 = 0.6;
 
 /// Most engines that help with one prompt.
 const MOST_HELPERS: usize = 16;
@@ -56,10 +52,6 @@
 /// Shortest part of a prompt's reading that is worth a helper, in milliseconds.
 const LEAST_PART_MS: f64 = 60.0;
 
-/// Reading that is assumed to be left of a prompt that should have been read by now, in
-/// milliseconds.
-const OVERDUE_MS: f64 = 10.0;
-
 /// Part of the time that is left within which a first token has to be predicted.
 const LEFT_SHARE: f64 = 0.8;
 
@@ -73,15 +65,11 @@
 /// two plans in time the faster one is taken.
 const SLOWNESS_COST: f64 = 0.12;
 
-/// Part of a stream's worth that is lost when it is late.
-const LATE_LOSS: f64 = 0.75;
-
-/// Tokens (prompt and ten times the output) that count as one unit of worth.
-const WORTH_TOKENS: f64 = 20_000.0;
-
 /// A request to be placed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ask {
+    /// Request that it belongs to.
+    pub request: u64,
     /// Prompt tokens.
     pub prompt: u64,
     /// Most output tokens.
@@ -92,6 +80,10 @@
     pub pause_limit_ms: f64,
     /// Time that is left in milliseconds.
     pub left_ms: f64,
+    /// Reading ahead at an engine in the last seconds, on average, in milliseconds.
+    pub usual_backlog_ms: f64,
+    /// Whether its caller has probably been turned away before.
+    pub comes_back: bool,
 }
 
 impl Ask {
@@ -99,161 +91,17 @@
         worth(self.prompt, self.output)
     }
 
-    fn need(&self) -> u64 {
-        self.prompt + self.output
-    }
-}
-
-fn worth(prompt: u64, output: u64) -> f64 {
-    (prompt as f64 + 10.0 * output as f64) / WORTH_TOKENS
-}
-
-/// A stream that pauses can make late.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct StreamAtStake {
-    /// Tokens that its steps attend to.
-    pub context: u64,
-    /// Longest pause between events in milliseconds; 0 for any.
-    pub pause_limit_ms: f64,
-    /// Worth that it has while it is in time.
-    pub worth: f64,
-}
-
-/// One engine as it is believed to be.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct EngineState {
-    /// Identity.
-    pub id: EndpointId,
-    /// Sends under way there.
-    pub flights: usize,
-    /// Of these, those that hold a slot or go before what is late.
-    pub urgent: usize,
-    /// Streams that are being written.
-    pub writers: Vec<StreamAtStake>,
-    /// Streams that will be written once their prompts are read.
-    pub coming: Vec<StreamAtStake>,
-    /// Reading that is ahead of a new prompt, in milliseconds.
-    pub backlog_ms: f64,
-    /// Streams under way whose prompts are short.
-    pub short_streams: usize,
-    /// Memory promised, in tokens.
-    pub memory_used: u64,
-    /// How many times slower than published it seems.
-    pub slowness: f64,
-    /// Share of recent sends that it failed.
-    pub failing: f64,
-    /// Round trip to it in milliseconds.
-    pub round_trip_ms: f64,
-}
-
-impl EngineState {
-    /// Builds the state of an engine from the sends that are under way there.
-    pub fn of(id: EndpointId, model: &EngineModel, now: Moment, flights: &[&Flight]) -> Self {
-        let mut state = Self { id, slowness: 1.0, ..Self::default() };
-        let mut reading: Vec<&Flight> = Vec::new();
-        for f in flights {
-            state.memory_used += f.held_tokens;
-            let at_stake = if f.late { 0.0 } else { worth(f.prompt, f.output) };
-            let stream = StreamAtStake {
-                context: f.prompt + f.written,
-                pause_limit_ms: f.pause_limit_ms,
-                worth: at_stake,
-            };
-            if f.written > 0 {
-                state.writers.push(stream);
-            } else {
-                reading.push(f);
-                if !f.helps {
-                    state.coming.push(stream);
-                }
-            }
-            if !f.helps {
-                let is_short = model.read_ms(f.prompt) <= HARMLESS_PART_MS * LEAST_SHORT_SET as f64;
-                state.short_streams += usize::from(is_short);
-                state.urgent += usize::from(f.written > 0 || !f.late);
-                state.flights += 1;
-            }
+    fn stream(&self) -> StreamAtStake {
+        StreamAtStake {
+            context: self.prompt,
+            pause_limit_ms: self.pause_limit_ms,
+            worth: self.worth(),
         }
-        state.backlog_ms = remaining_reading(model, now, &state.writers, reading);
-        state
-    }
-
-    fn stride_ms(&self, model: &EngineModel) -> f64 {
-        stride_beside(model, &self.writers)
-    }
-
-    /// Memory that may still be promised, in tokens.
-    fn free(&self, model: &EngineModel) -> u64 {
-        let memory = model.memory_tokens as f64 * (1.0 - MEMORY_MARGIN);
-        (memory as u64).saturating_sub(self.memory_used)
-    }
-
-    fn fits(&self, model: &EngineModel, need: u64) -> bool {
-        need <= self.free(model)
-    }
-
-    /// Time to the first token of a prompt whose part here takes `read_ms`.
-    fn first_token_ms(&self, model: &EngineModel, tokens: u64, read_ms: f64) -> f64 {
-        let beside = if self.writers.is_empty() {
-            0.0
-        } else {
-            self.stride_ms(model) * (0.5 + model.passes(tokens))
-        };
-        let above = (self.urgent as f64 + 1.0 - f64::from(model.slots)).max(0.0);
-        let waiting = above * SLOT_WAIT_MS;
-        (self.backlog_ms + read_ms + beside + waiting) * self.slowness + self.round_trip_ms
-    }
-
-    /// Worth that streams here lose by pauses when a part of `read_ms` is read beside them.
-    ///
-    /// Streams that are written meet the part together with the reading that is ahead of it;
-    /// those whose prompts are still read meet only what comes after. What is lost already by
-    /// the reading ahead is not lost again.
-    fn harm(&self, model: &EngineModel, tokens: u64, read_ms: f64) -> f64 {
-        let stride = self.stride_ms(model);
-        let part = model.pass_read_ms(tokens, read_ms);
-        let most = model.most_pass_read_ms().max(part);
-        let before = (stride + self.backlog_ms.min(most)) * self.slowness;
-        let after = (stride + (self.backlog_ms + part).min(most)) * self.slowness;
-        let alone = (stride + part) * self.slowness;
-        let added = late_worth(&self.writers, after) - late_worth(&self.writers, before);
-        added.max(0.0) + late_worth(&self.coming, alone)
     }
-}
-
-/// Worth that streams lose by one pause.
-fn late_worth(streams: &[StreamAtStake], pause_ms: f64) -> f64 {
-    let late =
-        |s: &&StreamAtStake| s.pause_limit_ms > 0.0 && pause_ms > s.pause_limit_ms * SURE_PAUSE;
-    streams.iter().filter(late).map(|s| s.worth * LATE_LOSS).sum()
-}
 
-/// Time of the steps of one pass with these writers, in milliseconds.
-fn stride_beside(model: &EngineModel, writers: &[StreamAtStake]) -> f64 {
-    model.stride_ms(writers.len(), writers.iter().map(|s| s.context).sum())
-}
-
-/// Reading that is left, if prompts are read one after the other since they were sent.
-fn remaining_reading(
-    model: &EngineModel,
-    now: Moment,
-    writers: &[StreamAtStake],
-    mut reading: Vec<&Flight>,
-) -> f64 {
-    reading.sort_by_key(|f| f.sent_at);
-    let stride = if writers.is_empty() { 0.0 } else { stride_beside(model, writers) };
-    let mut free_at = f64::NEG_INFINITY;
-    let mut overdue = 0.0f64;
-    for f in reading {
-        let age = now.saturating_sub(f.sent_at).as_secs_f64() * 1000.0;
-        let time = f.read_ms + stride * model.passes(f.read_tokens) * 0.5;
-        let start = free_at.max(-age);
-        free_at = start + time;
-        if free_at < 0.0 {
-            overdue += OVERDUE_MS;
-        }
+    fn need(&self) -> u64 {
+        self.prompt + self.output
     }
-    free_at.max(0.0) + overdue
 }
 
 /// An engine that helps to read a prompt.
@@ -276,10 +124,39 @@
     pub part_ms: f64,
     /// Predicted time to the first token in milliseconds.
     pub first_token_ms: f64,
+    /// Worth that others probably lose by it.
+    pub damage: f64,
     /// Whether it will be late, and so waits for what can still be in time.
     pub late: bool,
 }
 
+impl Plan {
+    /// Sends that the plan adds: the request at the first engine, then the parts of helpers.
+    pub fn flights(&self, engines: &[EngineState], ask: &Ask, now: Moment) -> Vec<Flight> {
+        let at_helpers: u64 = self.helpers.iter().map(|h| h.held_tokens).sum();
+        let width = self.helpers.len() as u64 + 1;
+        let flight = |at: usize, helps: bool, held_tokens: u64| Flight {
+            endpoint: engines[at].id.clone(),
+            request: ask.request,
+            shared: width > 1,
+            objective_ms: ask.objective_ms,
+            prompt: ask.prompt,
+            output: ask.output,
+            read_tokens: ask.prompt / width,
+            read_ms: self.part_ms,
+            sent_at: now,
+            written: 0,
+            pause_limit_ms: ask.pause_limit_ms,
+            held_tokens,
+            helps,
+            late: self.late,
+        };
+        let first = flight(self.first, false, ask.need().saturating_sub(at_helpers));
+        let parts = self.helpers.iter().map(|h| flight(h.at, true, h.held_tokens));
+        std::iter::once(first).chain(parts).collect()
+    }
+}
+
 /// Why a request is not sent to any engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalCause {
@@ -304,6 +181,8 @@
 pub enum Decision {
     /// Send it.
     Send(Plan),
+    /// It had better wait here for so many milliseconds, since others lose less by it then.
+    Hold(f64),
     /// It had better come back.
     Refuse {
         /// Milliseconds until reading that is ahead will have ended.
@@ -319,11 +198,13 @@
 ///
 /// ```
 /// use bitternlead::gateway::engine_model::EngineModel;
-/// use bitternlead::gateway::placement::{Ask, Decision, EngineState, decide};
+/// use bitternlead::gateway::engine_state::EngineState;
+/// use bitternlead::gateway::placement::{Ask, Decision, decide};
 ///
 /// let engine = EngineState { slowness: 1.0, ..EngineState::default() };
 /// let ask = Ask {
-///     prompt: 5_000, output: 1_500, objective_ms: 300.0, pause_limit_ms: 200.0, left_ms: 9_000.0,
+///     request: 1, prompt: 5_000, output: 1_500, objective_ms: 300.0, pause_limit_ms: 200.0,
+///     left_ms: 9_000.0, usual_backlog_ms: 0.0, comes_back: false,
 /// };
 /// assert!(matches!(decide(&EngineModel::default(), &[engine], &ask), Decision::Send(_)));
 /// ```
@@ -348,6 +229,9 @@
     if is_short && late {
         return place_late(model, engines, ask, plan);
     }
+    if !is_short && had_better_wait(ask, &plan) {
+        return Decision::Hold(HOLD_MS);
+    }
     if !is_short && !pays(model, engines, ask, late) {
         let free_in_ms = mean_backlog(engines).max(after_ms);
         return Decision::Refuse { free_in_ms, cause: RefusalCause::Displaces };
@@ -355,6 +239,15 @@
     Decision::Send(Plan { late, ..plan })
 }
 
+/// Whether a prompt that would make others late has the time to wait until they are done.
+///
+/// Load that this answers: the turn from a span of short questions to one of long prompts, when
+/// all engines still write short streams.
+fn had_better_wait(ask: &Ask, plan: &Plan) -> bool {
+    let harms = plan.damage > ask.worth() * HARMLESS_SHARE;
+    harms && plan.first_token_ms + HOLD_MS < ask.objective_ms * WAIT_SHARE
+}
+
 /// Lets a short request that will be late wait at the engine with the fewest sends, behind all
 /// that can still be in time; where too many wait already, it had better come back.
 fn place_late(model: &EngineModel, engines: &[EngineState], ask: &Ask, plan: Plan) -> Decision {
@@ -375,14 +268,17 @@
 /// Load that this answers: spans in which long prompts alone need most of the fleet. Pairs grow
 /// with the square of a prompt, so the largest ones give the least worth for their time.
 fn pays(model: &EngineModel, engines: &[EngineState], ask: &Ask, late: bool) -> bool {
-    let busy = (mean_backlog(engines) / (ask.objective_ms * BUSY_SHARE)).min(1.0);
+    let busy = (mean_backlog(engines).max(ask.usual_backlog_ms) / (ask.objective_ms * BUSY_SHARE))
+        .min(1.0);
     let kept = if late { 1.0 - LATE_LOSS } else { 1.0 };
     let work_s = model.read_ms(ask.prompt) / 1000.0;
-    ask.worth() * kept >= work_s * WORTH_PER_S * busy
+    let price = if ask.comes_back { WORTH_PER_S * RETURN_SHARE } else { WORTH_PER_S };
+    ask.worth() * kept >= work_s * price * busy
 }
 
-fn mean_backlog(engines: &[EngineState]) -> f64 {
-    let sum: f64 = engines.iter().map(|e| e.backlog_ms * e.slowness).sum();
+/// Reading ahead at an engine on average, in milliseconds.
+pub fn mean_backlog(engines: &[EngineState]) -> f64 {
+    let sum: f64 = engines.iter().map(|e| e.backlog_ms() * e.slowness).sum();
     sum / engines.len().max(1) as f64
 }
 
@@ -420,30 +316,47 @@
     width: usize,
 ) -> Option<(f64, Plan)> {
     let part_ms = model.read_ms(ask.prompt) / width as f64;
-    let tokens = ask.prompt / width as u64;
-    let cost_at = |at: &usize| engine_cost(model, &engines[*at], ask, tokens, part_ms);
-    let mut order: Vec<usize> = allowed.to_vec();
-    order.sort_by(|a, b| cost_at(a).total_cmp(&cost_at(b)));
-    let fitting = order.iter().copied().find(|at| engines[*at].fits(model, ask.need()));
-    let first = fitting.or_else(|| order.first().copied())?;
-    let others = order.iter().filter(|at| **at != first && engines[**at].failing < 0.2);
-    let chosen: Vec<usize> = others.copied().take(width - 1).collect();
+    let tokens = ask.prompt as f64 / width as f64;
+    let new = NewRead { tokens, read_ms: part_ms, shared: width > 1 };
+    let cost_at = |at: &usize| (engine_cost(model, &engines[*at], ask, &new), *at);
+    let mut order: Vec<(f64, usize)> = allowed.iter().map(cost_at).collect();
+    order.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    let own = ask.stream();
+    let beside = |at: usize| engines[at].loss_beside_older(model, &new, &own);
+    let fitting = order.iter().filter(|(_, at)| engines[*at].fits(model, ask.need()));
+    let calmest = fitting.min_by(|(a, x), (b, y)| (a + beside(*x)).total_cmp(&(b + beside(*y))));
+    let (_, first) = *calmest.or_else(|| order.first())?;
+    let others = order.iter().filter(|(_, at)| *at != first && engines[*at].failing < 0.2);
+    let chosen: Vec<usize> = others.map(|(_, at)| *at).take(width - 1).collect();
     if chosen.len() + 1 < width {
         return None;
     }
     let lacking = ask.need().saturating_sub(engines[first].free(model));
     let helpers = share_memory(model, engines, &chosen, lacking)?;
-    let times = chosen.iter().chain([&first]);
-    let first_token_ms =
-        times.map(|at| engines[*at].first_token_ms(model, tokens, part_ms)).fold(0.0, f64::max);
-    let harm: f64 = chosen.iter().map(|at| engines[*at].harm(model, tokens, part_ms)).sum();
+    let readers: Vec<&EngineState> =
+        std::iter::once(first).chain(chosen).map(|at| &engines[at]).collect();
+    let times = readers.iter().map(|e| e.first_token_ms(model, &new));
+    let first_token_ms = times.fold(0.0, f64::max);
+    let harm: f64 = readers.iter().map(|e| e.harm(model, &new)).sum();
     let reserved = helpers.iter().filter(|h| h.held_tokens > 0).count();
-    let cost = engine_cost(model, &engines[first], ask, tokens, part_ms)
-        + harm
+    let damage = harm + delay_loss(&readers, &new);
+    let cost = damage
+        + beside(first)
+        + risk(model, &engines[first], ask)
         + lateness(first_token_ms, ask) * ask.worth()
-        + chosen.len() as f64 * HELPER_COST
+        + helpers.len() as f64 * HELPER_COST
         + reserved as f64 * RESERVATION_COST;
-    Some((cost, Plan { first, helpers, part_ms, first_token_ms, late: false }))
+    Some((cost, Plan { first, helpers, part_ms, first_token_ms, damage, late: false }))
+}
+
+/// Worth that prompts lose which are delayed at one or several of these engines.
+fn delay_loss(readers: &[&EngineState], new: &NewRead) -> f64 {
+    let mut worst: HashMap<u64, (f64, f64)> = HashMap::new();
+    for (request, before, after) in readers.iter().flat_map(|e| e.delayed(new)) {
+        let held = worst.entry(request).or_insert((before, after));
+        held.1 = held.1.max(after);
+    }
+    worst.into_values().map(|(before, after)| after - before).sum()
 }
 
 /// Shares memory that the first engine lacks between helpers, in their order.
@@ -466,22 +379,19 @@
 /// Part of the worth that is lost by a first token after so many milliseconds.
 fn lateness(first_token_ms: f64, ask: &Ask) -> f64 {
     let share = first_token_ms / ask.objective_ms.max(1.0);
-    let late = ((share - SURE_SHARE) / (1.0 - SURE_SHARE)).clamp(0.0, 1.0) * LATE_LOSS;
-    late + share * SLOWNESS_COST
+    probable_loss(share) + share * SLOWNESS_COST
 }
 
 /// What it costs, in worth, to read a part of the prompt at one engine.
-fn engine_cost(
-    model: &EngineModel,
-    engine: &EngineState,
-    ask: &Ask,
-    tokens: u64,
-    part_ms: f64,
-) -> f64 {
-    let first_token_ms = engine.first_token_ms(model, tokens, part_ms);
+fn engine_cost(model: &EngineModel, engine: &EngineState, ask: &Ask, new: &NewRead) -> f64 {
+    let late = lateness(engine.first_token_ms(model, new), ask) * ask.worth();
+    let delays: f64 = engine.delayed(new).map(|(_, before, after)| after - before).sum();
+    late + engine.harm(model, new) + delays + risk(model, engine, ask)
+}
+
+/// Worth that is set against crowding an engine, and against one that fails.
+fn risk(model: &EngineModel, engine: &EngineState, ask: &Ask) -> f64 {
     let roomy = f64::from(model.slots) * CROWDED_SHARE;
     let crowded = (engine.flights as f64 + 1.0 - roomy).max(0.0) * CROWDED_COST;
-    let late = lateness(first_token_ms, ask) * ask.worth();
-    let harm = engine.harm(model, tokens, part_ms);
-    late + harm + crowded + engine.failing * 2.0 * ask.worth()
+    crowded + engine.failing * 2.0 * ask.worth()
 }
--- /dev/null
+++ b/src/gateway/smoothed.rs
@@ -0,0 +1,36 @@
+//! A number that follows what is noted with a delay.
+
+use std::time::Duration;
+
+use crate::ids::Moment;
+
+/// Time in which what was noted before fades to a third.
+const FADE: Duration = Duration::from_millis(1500);
+
+/// An exponentially weighted mean over the last seconds.
+///
+/// ```
+/// use std::time::Duration;
+/// use bitternlead::gateway::smoothed::Smoothed;
+///
+/// let mut mean = Smoothed::default();
+/// let soon = mean.note(Duration::from_millis(100), 10.0);
+/// let later = mean.note(Duration::from_secs(20), 10.0);
+/// assert!(soon < 1.0 && later > 9.0);
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Smoothed {
+    value: f64,
+    noted_at: Moment,
+}
+
+impl Smoothed {
+    /// Notes a number; the mean with it.
+    pub fn note(&mut self, now: Moment, number: f64) -> f64 {
+        let passed = now.saturating_sub(self.noted_at).as_secs_f64();
+        let kept = (-passed / FADE.as_secs_f64()).exp();
+        self.value = self.value * kept + number * (1.0 - kept);
+        self.noted_at = now;
+        self.value
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use super::flights::{Flight, FlightKey, Flights};
 use super::health::Health;
 use super::pool::Pool;
+use super::smoothed::Smoothed;
 use crate::clock::boot_now;
 use crate::directory::EndpointId;
 use crate::event;
@@ -167,6 +168,8 @@
     pub endpoints: Mutex<Endpoints>,
     /// Sends under way.
     pub flights: Mutex<Flights>,
+    /// Reading ahead at an engine in the last seconds, in milliseconds.
+    pub usual_backlog: Mutex<Smoothed>,
     /// Health of endpoints.
     pub health: Mutex<Health>,
     /// Budget of repeated sends.
@@ -195,6 +198,7 @@
             config: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
             flights: Mutex::default(),
+            usual_backlog: Mutex::default(),
             health: Mutex::default(),
             budget: Mutex::new(budget),
             pool: Pool::default(),
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -951,6 +951,15 @@
     /// Whether it is late already, and so waits for others.
     #[prost(bool, tag = "11")]
     pub late: bool,
+    /// Hash of the request's id.
+    #[prost(fixed64, tag = "12")]
+    pub request: u64,
+    /// Whether several endpoints read the prompt.
+    #[prost(bool, tag = "13")]
+    pub shared: bool,
+    /// Time within which the first token was worth most when it was sent.
+    #[prost(uint32, tag = "14")]
+    pub objective_ms: u32,
 }
 /// How an endpoint stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- /dev/null
+++ b/tests/emulator/fleet.rs
@@ -0,0 +1,476 @@
+//! Engines, entries and callers in virtual time.
+
+use std::cmp::Ordering;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use bitternlead::directory::EndpointId;
+use bitternlead::gateway::engine_model::EngineModel;
+use bitternlead::gateway::engine_state::build_states;
+use bitternlead::gateway::flights::{FlightKey, Flights};
+use bitternlead::gateway::placement::{Ask, Decision, Plan, mean_backlog};
+use bitternlead::gateway::smoothed::Smoothed;
+use bitternlead::wire::SharedLoad;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::engine::{Engine, SendId};
+use super::load::{Arrival, Kind, Preset, draw};
+use super::router::Router;
+
+/// Time from an entry to an engine or to another entry, in milliseconds.
+const LINK_MS: f64 = 0.7;
+
+/// Time in which an entry gathers changes before it tells the others, in milliseconds.
+const GATHER_MS: f64 = 2.0;
+
+/// Length of the windows of which the worst two are reported, in milliseconds.
+const WINDOW_MS: f64 = 3_000.0;
+
+/// Part of the time that is left up to which callers honour a time to come back.
+const HONOURED_SHARE: f64 = 1.0 / 3.0;
+
+/// Ranks at engines, as the product sends them.
+const RANKS: (u8, u8) = (2, 8);
+
+/// What became of one request.
+#[derive(Clone, Debug, Default)]
+pub struct Fate {
+    /// Kind.
+    pub kind: usize,
+    /// When it came, in milliseconds.
+    pub at_ms: f64,
+    /// Time to the first event, if there was one.
+    pub first_ms: Option<f64>,
+    /// Longest pause in milliseconds.
+    pub pause_ms: f64,
+    /// Whether the stream came whole.
+    pub whole: bool,
+    /// Whether it was refused for good.
+    pub refused: bool,
+    /// Times it was refused.
+    pub refusals: u32,
+    /// Worth that it could earn, and that it earned.
+    pub worth: f64,
+    /// See above.
+    pub earned: f64,
+    /// Predicted time to the first event at its last send.
+    pub predicted_ms: f64,
+}
+
+/// Shares of the worth of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    /// Earned share of the whole.
+    pub whole: f64,
+    /// Mean of the two worst windows.
+    pub worst: f64,
+    /// Share by kind.
+    pub kinds: [f64; 3],
+    /// Share of requests of each kind in time.
+    pub in_time: [f64; 3],
+    /// Requests refused for good.
+    pub refused: f64,
+    /// Share served, in time or late, of the largest tenth of the long prompts and of the fifth
+    /// below it, over the share of all long prompts.
+    pub largest: [f64; 2],
+}
+
+enum Event {
+    Arrive { request: usize, tries: u32, entry: usize, since: f64 },
+    Reach { send: SendId, engine: usize },
+    PassEnd { engine: usize },
+    Tell { entry: usize },
+    Hear { entry: usize, load: Box<SharedLoad> },
+    GiveUp { send: SendId },
+}
+
+struct Due(f64, u64, Event);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.0.total_cmp(&self.0).then(other.1.cmp(&self.1))
+    }
+}
+
+struct Send {
+    request: usize,
+    entry: usize,
+    plan: Plan,
+    keys: Vec<FlightKey>,
+    parts_left: usize,
+    wrote_at: Option<f64>,
+}
+
+struct Entry {
+    flights: Flights,
+    seq: u64,
+    tells: bool,
+    usual_backlog: Smoothed,
+}
+
+/// A run of one load.
+pub struct Fleet<'a> {
+    preset: &'a Preset,
+    model: EngineModel,
+    router: Router,
+    ids: Vec<EndpointId>,
+    engines: Vec<Engine>,
+    entries: Vec<Entry>,
+    arrivals: Vec<Arrival>,
+    fates: Vec<Fate>,
+    sends: HashMap<SendId, Send>,
+    due: BinaryHeap<Due>,
+    next: u64,
+    now: f64,
+    rng: ChaCha8Rng,
+}
+
+/// Plays a load and returns what became of each request.
+pub fn play(preset: &Preset, router: Router, seed: u64) -> Vec<Fate> {
+    let arrivals = draw(preset, seed);
+    let mut fleet = Fleet::new(preset, router, arrivals, seed);
+    fleet.run();
+    fleet.fates
+}
+
+impl<'a> Fleet<'a> {
+    fn new(preset: &'a Preset, router: Router, arrivals: Vec<Arrival>, seed: u64) -> Self {
+        let model = EngineModel {
+            slots: preset.slots,
+            memory_tokens: preset.memory,
+            stride: preset.stride,
+            ..EngineModel::default()
+        };
+        let entry = |_| Entry {
+            flights: Flights::default(),
+            seq: 0,
+            tells: false,
+            usual_backlog: Smoothed::default(),
+        };
+        let fate = |a: &Arrival| Fate {
+            kind: a.kind,
+            at_ms: a.at_ms,
+            worth: a.worth.0,
+            ..Fate::default()
+        };
+        let mut fleet = Self {
+            preset,
+            router,
+            ids: (0..preset.engines).map(|n| EndpointId::new(format!("e{n:03}"))).collect(),
+            engines: (0..preset.engines).map(|_| Engine::new(model.clone())).collect(),
+            entries: (0..preset.entries).map(entry).collect(),
+            fates: arrivals.iter().map(fate).collect(),
+            arrivals,
+            sends: HashMap::new(),
+            due: BinaryHeap::new(),
+            next: 0,
+            now: 0.0,
+            rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
+            model,
+        };
+        for request in 0..fleet.arrivals.len() {
+            let at = fleet.arrivals[request].at_ms;
+            fleet.come(request, 0, at);
+        }
+        fleet
+    }
+
+    fn schedule(&mut self, at: f64, event: Event) {
+        self.next += 1;
+        self.due.push(Due(at, self.next, event));
+    }
+
+    fn run(&mut self) {
+        while let Some(Due(at, _, event)) = self.due.pop() {
+            self.now = at;
+            match event {
+                Event::Arrive { request, tries, entry, since } => {
+                    self.arrive(request, tries, entry, since);
+                }
+                Event::Reach { send, engine } => self.reach(send, engine),
+                Event::PassEnd { engine } => self.end_pass(engine),
+                Event::Tell { entry } => self.tell(entry),
+                Event::Hear { entry, load } => {
+                    let now = self.moment();
+                    self.entries[entry].flights.hear(now, *load);
+                }
+                Event::GiveUp { send } => self.give_up(send),
+            }
+        }
+    }
+
+    fn moment(&self) -> Duration {
+        // Far from zero, so that ages of earlier sends never run below it.
+        Duration::from_secs_f64(1000.0 + self.now / 1000.0)
+    }
+
+    fn kind(&self, request: usize) -> &Kind {
+        &self.preset.kinds[self.arrivals[request].kind]
+    }
+
+    /// A caller's request comes to some entry.
+    fn come(&mut self, request: usize, tries: u32, at: f64) {
+        let entry = self.rng.random_range(0..self.entries.len());
+        self.schedule(at, Event::Arrive { request, tries, entry, since: at });
+    }
+
+    /// An entry decides about a request that it has held since then.
+    fn arrive(&mut self, request: usize, tries: u32, entry: usize, since: f64) {
+        let arrival = &self.arrivals[request];
+        let kind = &self.preset.kinds[arrival.kind];
+        let waited = self.now - arrival.at_ms;
+        let mut ask = Ask {
+            request: request as u64,
+            prompt: arrival.prompt,
+            output: u64::from(arrival.events * self.preset.stride),
+            // A caller that comes back is a new request to the entry.
+            objective_ms: (kind.objective_ms - (self.now - since)).max(1.0),
+            pause_limit_ms: kind.pause_limit_ms,
+            left_ms: kind.patience_ms - waited,
+            usual_backlog_ms: 0.0,
+            comes_back: tries > 0,
+        };
+        let now = self.moment();
+        let flights = &self.entries[entry].flights;
+        let mut states = build_states(&self.model, now, self.ids.iter(), flights.all());
+        for state in &mut states {
+            state.round_trip_ms = 2.0 * LINK_MS;
+        }
+        let backlog = mean_backlog(&states);
+        ask.usual_backlog_ms = self.entries[entry].usual_backlog.note(now, backlog);
+        let decided = self.router.decide(&self.model, &states, &ask, request, &mut self.rng);
+        match decided {
+            Decision::Send(plan) => {
+                let made = plan.flights(&states, &ask, now);
+                self.send(request, entry, plan, made);
+            }
+            Decision::Hold(ms) => {
+                self.schedule(self.now + ms, Event::Arrive { request, tries, entry, since });
+            }
+            Decision::Refuse { free_in_ms, .. } => {
+                self.refuse(request, tries, free_in_ms.max(100.0), ask.left_ms);
+            }
+            Decision::TooLarge => self.refuse(request, tries, 1000.0, ask.left_ms),
+        }
+    }
+
+    fn refuse(&mut self, request: usize, tries: u32, after: f64, left: f64) {
+        self.fates[request].refusals += 1;
+        let after = (after * self.rng.random_range(0.7..1.4)).min(left * HONOURED_SHARE);
+        if tries == 0 {
+            self.come(request, 1, self.now + after);
+        } else {
+            self.fates[request].refused = true;
+        }
+    }
+
+    fn send(
+        &mut self,
+        request: usize,
+        entry: usize,
+        plan: Plan,
+        made: Vec<bitternlead::gateway::flights::Flight>,
+    ) {
+        self.next += 1;
+        let send = self.next;
+        let flights = &mut self.entries[entry].flights;
+        let keys = made.into_iter().map(|f| flights.start(f)).collect();
+        self.fates[request].predicted_ms = plan.first_token_ms;
+        let engines: Vec<usize> =
+            std::iter::once(plan.first).chain(plan.helpers.iter().map(|h| h.at)).collect();
+        let parts_left = engines.len();
+        self.sends.insert(send, Send { request, entry, plan, keys, parts_left, wrote_at: None });
+        for engine in engines {
+            self.schedule(self.now + LINK_MS, Event::Reach { send, engine });
+        }
+        let kind = self.kind(request);
+        let gap = (4.0 * kind.objective_ms).max(8.0 * kind.pause_limit_ms).max(2_000.0);
+        let left = kind.patience_ms - (self.now - self.arrivals[request].at_ms);
+        self.schedule(self.now + gap.min(left), Event::GiveUp { send });
+        self.changed(entry);
+    }
+
+    fn reach(&mut self, send: SendId, engine: usize) {
+        let Some(s) = self.sends.get(&send) else { return };
+        let width = s.plan.helpers.len() + 1;
+        let tokens = self.arrivals[s.request].prompt as f64 / width as f64;
+        let part_ms = s.plan.part_ms;
+        if engine == s.plan.first {
+            let rank = if s.plan.late { RANKS.1 } else { RANKS.0 };
+            self.engines[engine].take(send, tokens, part_ms, width > 1, rank);
+        } else {
+            self.engines[engine].help(send, tokens, part_ms);
+        }
+        self.start_pass(engine);
+    }
+
+    fn start_pass(&mut self, engine: usize) {
+        if let Some(end) = self.engines[engine].start(self.now) {
+            self.schedule(end, Event::PassEnd { engine });
+        }
+    }
+
+    fn end_pass(&mut self, engine: usize) {
+        let end = self.engines[engine].end();
+        for send in end.wrote {
+            self.note_event(send);
+        }
+        for send in end.ended {
+            self.finish(send, true);
+        }
+        for send in end.read {
+            self.note_read(send);
+        }
+        self.start_pass(engine);
+    }
+
+    fn note_read(&mut self, send: SendId) {
+        let Some(s) = self.sends.get_mut(&send) else { return };
+        s.parts_left -= 1;
+        if s.parts_left > 0 {
+            return;
+        }
+        let (first, request) = (s.plan.first, s.request);
+        let arrival = &self.arrivals[request];
+        let (prompt, events) = (arrival.prompt, arrival.events);
+        self.note_event(send);
+        self.engines[first].write(send, prompt, events);
+        if events <= 1 {
+            self.finish(send, true);
+        }
+        self.start_pass(first);
+    }
+
+    fn note_event(&mut self, send: SendId) {
+        let Some(s) = self.sends.get_mut(&send) else { return };
+        let fate = &mut self.fates[s.request];
+        let waited = self.now + LINK_MS - fate.at_ms;
+        match s.wrote_at {
+            None => fate.first_ms = Some(waited),
+            Some(at) => fate.pause_ms = fate.pause_ms.max(self.now - at),
+        }
+        let starts = s.wrote_at.is_none();
+        s.wrote_at = Some(self.now);
+        let kind = &self.preset.kinds[fate.kind];
+        let late = waited > kind.objective_ms && starts || fate.pause_ms > kind.pause_limit_ms;
+        let flights = &mut self.entries[s.entry].flights;
+        if let Some(f) = flights.get_mut(s.keys[0]) {
+            f.written += u64::from(self.preset.stride);
+            f.late |= late;
+        }
+        if starts {
+            for key in s.keys.drain(1..) {
+                flights.end(key);
+            }
+        }
+        let entry = s.entry;
+        if starts || late {
+            self.changed(entry);
+        }
+    }
+
+    fn give_up(&mut self, send: SendId) {
+        let Some(s) = self.sends.get(&send) else { return };
+        if s.wrote_at.is_some() {
+            return;
+        }
+        let engines: Vec<usize> =
+            std::iter::once(s.plan.first).chain(s.plan.helpers.iter().map(|h| h.at)).collect();
+        for engine in engines {
+            self.engines[engine].leave(send);
+        }
+        self.finish(send, false);
+    }
+
+    fn finish(&mut self, send: SendId, whole: bool) {
+        let Some(s) = self.sends.remove(&send) else { return };
+        for key in s.keys {
+            self.entries[s.entry].flights.end(key);
+        }
+        self.changed(s.entry);
+        let fate = &mut self.fates[s.request];
+        let kind = &self.preset.kinds[fate.kind];
+        fate.whole = whole;
+        let first = fate.first_ms.unwrap_or(f64::INFINITY);
+        let in_time = first <= kind.objective_ms && fate.pause_ms <= kind.pause_limit_ms;
+        let (worth, late) = self.arrivals[s.request].worth;
+        fate.earned = match (whole, in_time) {
+            (true, true) => worth,
+            (true, false) => late,
+            _ => 0.0,
+        };
+    }
+
+    fn changed(&mut self, entry: usize) {
+        if !std::mem::replace(&mut self.entries[entry].tells, true) {
+            self.schedule(self.now + GATHER_MS, Event::Tell { entry });
+        }
+    }
+
+    fn tell(&mut self, entry: usize) {
+        let now = self.moment();
+        let e = &mut self.entries[entry];
+        e.tells = false;
+        e.seq += 1;
+        let flights = e.flights.share(now);
+        let load = SharedLoad { node: format!("n{entry}"), incarnation: 1, seq: e.seq, flights };
+        for other in (0..self.entries.len()).filter(|o| *o != entry) {
+            let event = Event::Hear { entry: other, load: Box::new(load.clone()) };
+            self.schedule(self.now + LINK_MS, event);
+        }
+    }
+}
+
+/// Shares of the worth that fates earned.
+pub fn figures(fates: &[Fate]) -> Figures {
+    let mut windows: HashMap<u64, (f64, f64)> = HashMap::new();
+    let mut kinds = [(0.0, 0.0); 3];
+    let mut counts = [(0.0, 0.0); 3];
+    for fate in fates {
+        let window = windows.entry((fate.at_ms / WINDOW_MS) as u64).or_default();
+        window.0 += fate.earned;
+        window.1 += fate.worth;
+        kinds[fate.kind].0 += fate.earned;
+        kinds[fate.kind].1 += fate.worth;
+        counts[fate.kind].0 += f64::from(u8::from(fate.earned >= fate.worth));
+        counts[fate.kind].1 += 1.0;
+    }
+    let share = |(earned, owed): (f64, f64)| if owed > 0.0 { earned / owed } else { 1.0 };
+    let mut shares: Vec<f64> = windows.into_values().map(share).collect();
+    shares.sort_by(f64::total_cmp);
+    let whole = kinds.iter().fold((0.0, 0.0), |sum, k| (sum.0 + k.0, sum.1 + k.1));
+    let refused = fates.iter().filter(|f| f.refused).count() as f64 / fates.len().max(1) as f64;
+    Figures {
+        whole: share(whole),
+        worst: shares.iter().take(2).sum::<f64>() / shares.len().clamp(1, 2) as f64,
+        kinds: kinds.map(share),
+        in_time: counts.map(share),
+        refused,
+        largest: largest_shares(fates),
+    }
+}
+
+fn largest_shares(fates: &[Fate]) -> [f64; 2] {
+    let mut long: Vec<&Fate> = fates.iter().filter(|f| f.kind == 2).collect();
+    long.sort_by(|a, b| b.worth.total_cmp(&a.worth));
+    let served =
+        |of: &[&Fate]| of.iter().filter(|f| f.whole).count() as f64 / of.len().max(1) as f64;
+    let (tenth, fifth) = (long.len() / 10, long.len() * 3 / 10);
+    let all = served(&long).max(f64::MIN_POSITIVE);
+    [served(&long[..tenth]) / all, served(&long[tenth..fifth]) / all]
+}
--- /dev/null
+++ b/tests/emulator/router.rs
@@ -0,0 +1,67 @@
+//! Ways to choose engines: the product's own code, and naive ones to compare with.
+
+use bitternlead::gateway::engine_model::EngineModel;
+use bitternlead::gateway::engine_state::EngineState;
+use bitternlead::gateway::placement::{Ask, Decision, Plan, decide};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+/// A way to choose engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Router {
+    /// The product's own placing code.
+    Own,
+    /// One engine after the other.
+    RoundRobin,
+    /// The engine with the fewest requests.
+    LeastRequests,
+    /// The one with fewer requests of two drawn ones.
+    RandomTwo,
+}
+
+impl Router {
+    /// Name for tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::RoundRobin => "round robin",
+            Self::LeastRequests => "least requests",
+            Self::RandomTwo => "random two",
+        }
+    }
+
+    /// Decides about one request; `turn` counts requests.
+    pub fn decide(
+        self,
+        model: &EngineModel,
+        engines: &[EngineState],
+        ask: &Ask,
+        turn: usize,
+        rng: &mut ChaCha8Rng,
+    ) -> Decision {
+        let count = engines.len();
+        let first = match self {
+            Self::Own => return decide(model, engines, ask),
+            Self::RoundRobin => turn % count,
+            Self::LeastRequests => {
+                (0..count).min_by_key(|at| engines[*at].flights).unwrap_or_default()
+            }
+            Self::RandomTwo => {
+                let (a, b) = (rng.random_range(0..count), rng.random_range(0..count));
+                if engines[a].flights <= engines[b].flights { a } else { b }
+            }
+        };
+        if ask.prompt + ask.output > model.memory_tokens {
+            return Decision::TooLarge;
+        }
+        let part_ms = model.read_ms(ask.prompt);
+        Decision::Send(Plan {
+            first,
+            helpers: Vec::new(),
+            part_ms,
+            first_token_ms: 0.0,
+            damage: 0.0,
+            late: false,
+        })
+    }
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use bitternlead::gateway::engine_model::EngineModel;
+use bitternlead::gateway::engine_state::EngineState;
 use bitternlead::gateway::flights::Flight;
-use bitternlead::gateway::placement::{Ask, Decision, EngineState, Plan, decide, short_set};
+use bitternlead::gateway::placement::{Ask, Decision, Plan, decide, short_set};
+use bitternlead::gateway::replay::replay;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -12,7 +14,16 @@
 const LONG: (u64, u64, f64, f64) = (210_000, 800, 3000.0, 800.0);
 
 fn ask((prompt, output, objective_ms, pause_limit_ms): (u64, u64, f64, f64)) -> Ask {
-    Ask { prompt, output, objective_ms, pause_limit_ms, left_ms: 9000.0 }
+    Ask {
+        request: 1,
+        prompt,
+        output,
+        objective_ms,
+        pause_limit_ms,
+        left_ms: 9000.0,
+        usual_backlog_ms: 0.0,
+        comes_back: false,
+    }
 }
 
 fn flight(endpoint: usize, kind: (u64, u64, f64, f64), sent_ms: u64, written: u64) -> Flight {
@@ -25,6 +36,7 @@
         sent_at: Duration::from_millis(sent_ms),
         written,
         pause_limit_ms: kind.3,
+        objective_ms: kind.2,
         held_tokens: kind.0 + kind.1,
         ..Flight::default()
     }
@@ -161,3 +173,42 @@
     let late = Ask { objective_ms: 1.0, ..ask(SHORT) };
     assert!(plan(&full, &late).late);
 }
+
+/// A pass whose last prompt just did not fit once went on for ever in ever smaller pieces, until
+/// the process was out of memory.
+#[test]
+fn what_is_left_to_read_is_reckoned_in_bounded_time_for_any_sends() {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let model = EngineModel::default();
+    for round in 0..3_000 {
+        let mut flights: Vec<Flight> = Vec::new();
+        for _ in 0..rng.random_range(0..9) {
+            let prompt = rng.random_range(500..120_000);
+            let parts = rng.random_range(1..4);
+            flights.push(Flight {
+                read_tokens: prompt / parts,
+                read_ms: model.read_ms(prompt) / parts as f64,
+                shared: parts > 1,
+                ..flight(0, (prompt, 500, 300.0, 200.0), rng.random_range(0..2_000), 0)
+            });
+        }
+        flights.sort_by_key(|f| f.sent_at);
+        let reading: Vec<&Flight> = flights.iter().collect();
+        let stride = rng.random_bool(0.7).then(|| rng.random_range(40.0..90.0));
+        let now = Duration::from_millis(2_000 + rng.random_range(0..500));
+        let replayed = replay(&model, now, stride, &reading);
+        assert!(replayed.left.len() <= 2 * flights.len(), "round {round}");
+        assert!(replayed.left.iter().all(|l| l.ms >= 0.0 && l.share <= 1.0), "round {round}");
+    }
+}
+
+#[test]
+fn a_new_part_of_a_shared_prompt_is_read_before_what_waits() {
+    let model = EngineModel::default();
+    let part =
+        |sent_ms| Flight { shared: true, ..flight(0, (100_000, 500, 3000.0, 800.0), sent_ms, 0) };
+    let (plain, old, new) = (flight(0, SHORT, 0, 0), part(0), part(100));
+    let replayed = replay(&model, Duration::from_millis(110), None, &[&plain, &old, &new]);
+    let order: Vec<usize> = replayed.left.iter().map(|l| l.at).collect();
+    assert_eq!(order, [2, 1, 0], "{replayed:?}");
+}
