Log fetches of documents and log entries that are sent again

The logs could not tell whether the leader repeats entries that are on their way (hypothesis A) or whether fetches are cut and begun anew (B).

--- a/src/control/subscriber.rs
+++ b/src/control/subscriber.rs
@@ -57,6 +57,9 @@
         u64::MAX
     }
 
+    /// Called after a fetch of a document from `control` succeeded or failed.
+    fn on_fetched(&self, _control: SocketAddr, _fetch: &DocumentFetch) {}
+
     /// Called when the subscription was sent to `control`.
     fn on_connected(&self, control: SocketAddr);
 
@@ -71,6 +74,19 @@
     fn on_removed(&self, control: SocketAddr);
 }
 
+/// Outcome of a fetch of a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentFetch {
+    /// Version that was offered.
+    pub offered: u64,
+    /// Bytes of the document that arrived.
+    pub bytes: usize,
+    /// Time from the request to the outcome.
+    pub elapsed: Duration,
+    /// Why the fetch failed; `None` if the document arrived.
+    pub failure: Option<String>,
+}
+
 /// Keeps one subscription to each known control process, for one listener.
 pub struct ReplicaSubscriber {
     listener: Arc<dyn UpdateListener>,
@@ -186,7 +202,15 @@
         if self.listener.held_version() >= offered {
             return;
         }
+        let started = boot_now();
         let reply = link.request(Body::FetchDocument(FetchDocument {}), FETCH_TIMEOUT).await;
+        let elapsed = boot_now().saturating_sub(started);
+        let (bytes, failure) = match &reply {
+            Ok(Body::Document(document)) => (document.body.len(), None),
+            Ok(_) => (0, Some("not a document".to_owned())),
+            Err(e) => (0, Some(e.to_string())),
+        };
+        self.listener.on_fetched(addr, &DocumentFetch { offered, bytes, elapsed, failure });
         match reply {
             Ok(Body::Document(document)) => {
                 let update = News { document: Some(document), ..News::default() };
--- a/src/events.rs
+++ b/src/events.rs
@@ -56,6 +56,7 @@
     SnapshotTaken = 305, Info, "snapshot taken";
     SnapshotRestored = 306, Info, "snapshot of the leader restored";
     MembersChanged = 307, Info, "replicas of control changed";
+    EntriesSentAgain = 310, Info, "log entries sent again before they were answered";
     ClusterFormed = 308, Info, "cluster formed";
     StoreRewritten = 309, Info, "data folder written anew after a failed write";
     ConfigAccepted = 400, Info, "configuration change accepted";
@@ -65,6 +66,8 @@
     LeaseGained = 404, Info, "configuration lease gained";
     ConfigUnreadable = 405, Error, "configuration record not understood";
     ConfigAwaited = 406, Info, "request waited for the first configuration";
+    DocumentFetched = 407, Info, "configuration document fetched";
+    DocumentFetchFailed = 408, Warning, "fetch of a configuration document failed";
     EndpointJoined = 500, Info, "endpoint joined";
     EndpointLeaving = 501, Info, "endpoint leaving";
     EndpointLost = 502, Warning, "endpoint lost";
--- a/src/gateway/control_updates.rs
+++ b/src/gateway/control_updates.rs
@@ -6,7 +6,7 @@
 use super::load_exchange::LoadPeers;
 use super::state::Gateway;
 use crate::clock::boot_now;
-use crate::control::subscriber::UpdateListener;
+use crate::control::subscriber::{DocumentFetch, UpdateListener};
 use crate::event;
 use crate::wire::{News, Subscribe};
 
@@ -34,6 +34,17 @@
         self.gateway.config_version()
     }
 
+    fn on_fetched(&self, control: SocketAddr, fetch: &DocumentFetch) {
+        let (control, ms) = (control.to_string(), fetch.elapsed.as_millis() as u64);
+        match &fetch.failure {
+            None => event!(self.gateway.log, DocumentFetched, "control" => control,
+                "version" => fetch.offered, "bytes" => fetch.bytes, "ms" => ms),
+            Some(reason) => event!(self.gateway.log, DocumentFetchFailed, "control" => control,
+                "version" => fetch.offered, "bytes" => fetch.bytes, "ms" => ms,
+                "reason" => reason.as_str()),
+        }
+    }
+
     fn on_connected(&self, control: SocketAddr) {
         event!(self.gateway.log, ControlReachable, "control" => control.to_string());
     }
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -155,6 +155,8 @@
     /// Last index, last term and bytes so far of the snapshot that is being received.
     incoming_snapshot: Option<(Index, Term, Vec<u8>)>,
     effects: Vec<Effect>,
+    /// Bytes of entries that were sent again before an answer, since they were taken last.
+    resent_bytes: usize,
 }
 
 impl Raft {
@@ -191,6 +193,7 @@
             seen_leader: false,
             incoming_snapshot: None,
             effects: Vec::new(),
+            resent_bytes: 0,
         };
         raft.reset_election_deadline(now);
         raft.skip_startup_wait(now);
@@ -245,6 +248,12 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Returns the bytes of entries that were sent again before they were answered, since the last
+    /// call.
+    pub fn take_resent_bytes(&mut self) -> usize {
+        std::mem::take(&mut self.resent_bytes)
+    }
+
     /// Advances time: starts elections, and for a leader sends heartbeats, checks the quorum and
     /// promotes learners.
     pub fn tick(&mut self, now: Moment) {
--- a/src/raft/replication.rs
+++ b/src/raft/replication.rs
@@ -1,5 +1,7 @@
 //! Log replication: appends, heartbeats, commits and snapshot transfer.
 
+use prost::Message;
+
 use super::{Effect, Progress, Raft, Role};
 use crate::ids::{Index, Moment, ReplicaId};
 use crate::wire::{Append, AppendReply, Entry, Install, InstallReply, peer};
@@ -56,6 +58,9 @@
             return;
         };
         let entries = self.log.slice(next_index, self.cfg.max_append_entries);
+        if self.progress_of(to).in_flight {
+            self.resent_bytes += entries.iter().map(Message::encoded_len).sum::<usize>();
+        }
         self.progress_mut(to).in_flight = !entries.is_empty();
         let commit = self.commit_index;
         let append = Append { prev_index, prev_term, entries, commit, round };
