--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -652,6 +652,63 @@
     }
 }
 
+/// Leader of three replicas whose messages reach nobody from now on.
+fn cut_off_leader(sim: &mut Simulation) -> usize {
+    let leader = sim.leader().unwrap();
+    sim.run_until(500, |_| false);
+    sim.hosts[leader].isolated = true;
+    leader
+}
+
+/// Appends with entries among the messages that were sent since the last call.
+fn sent_appends(sim: &mut Simulation) -> Vec<Append> {
+    let sent = std::mem::take(&mut sim.network).into_iter();
+    let appends = sent.filter_map(|(_, msg)| match msg.kind {
+        Some(peer::Kind::Append(append)) if !append.entries.is_empty() => Some(append),
+        _ => None,
+    });
+    appends.collect()
+}
+
+#[test]
+fn entries_on_their_way_are_not_sent_again_with_each_heartbeat() {
+    let mut sim = Simulation::new(8, 3);
+    let leader = cut_off_leader(&mut sim);
+    sent_appends(&mut sim);
+    sim.propose();
+    let mut sent = 0;
+    for _ in 0..50 {
+        sim.now += Duration::from_millis(10);
+        let now = sim.now;
+        sim.hosts[leader].raft.as_mut().unwrap().tick(now);
+        sim.perform_effects(leader);
+        sent += sent_appends(&mut sim).len();
+    }
+    assert_eq!(sent, 2, "one append to each of the two others");
+}
+
+#[test]
+fn one_append_carries_a_bounded_number_of_bytes() {
+    let mut sim = Simulation::new(8, 3);
+    sim.cfg.max_append_entries = RaftConfig::default().max_append_entries;
+    for at in 0..3 {
+        sim.restart(at);
+    }
+    assert!(sim.run_until(10_000, |s| s.leader().is_some()));
+    let leader = cut_off_leader(&mut sim);
+    sent_appends(&mut sim);
+    for n in 0..40 {
+        let operation = format!("{n}{}", "x".repeat(500_000));
+        let now = sim.now;
+        let raft = sim.hosts[leader].raft.as_mut().unwrap();
+        raft.propose(now, Command { operation, ..Command::default() });
+    }
+    sim.perform_effects(leader);
+    let sent = sent_appends(&mut sim);
+    assert!(!sent.is_empty());
+    assert!(sent.iter().all(|append| append.encoded_len() < 1_100_000));
+}
+
 fn voter_list(ids: &[u64]) -> Vec<bitternlead::wire::Replica> {
     let build = |id: &u64| bitternlead::wire::Replica {
         id: *id,
