Send log entries once, not with each heartbeat, and bound an append in bytes

What callers saw: 404 on routes acknowledged seconds before, in the minutes of large documents. With five replicas and documents of 1 MB the leader's link was full of copies; heartbeats queued behind them and the leader was lost. Messages arrive in order, so the answer to a later heartbeat shows a loss, and only then are they sent again. An append carries no more entries once it has 256 KB. E310 now tells of losses.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -286,9 +286,9 @@
     /// nothing leaves the replica before it is durable.
     fn perform_effects(&mut self, now: Moment) {
         let effects = self.raft.take_effects(now);
-        let resent_bytes = self.raft.take_resent_bytes();
-        if resent_bytes > 0 {
-            event!(self.log, EntriesSentAgain, "bytes" => resent_bytes);
+        let lost_bytes = self.raft.take_lost_bytes();
+        if lost_bytes > 0 {
+            event!(self.log, EntriesSentAgain, "bytes" => lost_bytes);
         }
         let mut deferred = Vec::new();
         for effect in effects {
--- a/src/events.rs
+++ b/src/events.rs
@@ -56,7 +56,7 @@
     SnapshotTaken = 305, Info, "snapshot taken";
     SnapshotRestored = 306, Info, "snapshot of the leader restored";
     MembersChanged = 307, Info, "replicas of control changed";
-    EntriesSentAgain = 310, Info, "log entries sent again before they were answered";
+    EntriesSentAgain = 310, Info, "log entries or snapshot lost on their way, sent again";
     ClusterFormed = 308, Info, "cluster formed";
     StoreRewritten = 309, Info, "data folder written anew after a failed write";
     ConfigAccepted = 400, Info, "configuration change accepted";
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -98,6 +98,19 @@
         self.entries.iter().skip(skip).take(max).cloned().collect()
     }
 
+    /// Returns the entries from index `from` on: at most `max`, and none after the one with which
+    /// they exceed `max_bytes`, but at least one if there is any.
+    pub fn batch(&self, from: Index, max: usize, max_bytes: usize) -> Vec<Entry> {
+        let skip = from.saturating_sub(self.snapshot_index + 1) as usize;
+        let mut bytes = 0;
+        let fits = |entry: &&Entry| {
+            let is_within = bytes < max_bytes;
+            bytes += entry.encoded_len();
+            is_within
+        };
+        self.entries.iter().skip(skip).take(max).take_while(fits).cloned().collect()
+    }
+
     /// First index after the snapshot whose entry has the same term as the one at `index`.
     pub fn first_index_of_term(&self, index: Index) -> Index {
         let Some(term) = self.term_of(index) else { return self.snapshot_index };
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -31,6 +31,8 @@
     pub heartbeat: Duration,
     /// Maximum number of entries in one append message.
     pub max_append_entries: usize,
+    /// Size of the entries in one append message beyond which no further entry is added, in bytes.
+    pub max_append_bytes: usize,
     /// Maximum number of snapshot bytes in one message.
     pub snapshot_chunk_bytes: usize,
     /// Maximum number of voters. When it is reached, a caught-up learner is promoted only in place
@@ -56,6 +58,7 @@
             election_timeout: Duration::from_millis(800),
             heartbeat: Duration::from_millis(150),
             max_append_entries: 512,
+            max_append_bytes: 256 * 1024,
             snapshot_chunk_bytes: 256 * 1024,
             max_voters: None,
             startup_election_timeout: None,
@@ -110,6 +113,42 @@
     Leader,
 }
 
+/// Entries or a snapshot chunk on their way to a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct InFlight {
+    /// Heartbeat round in which they were sent. Messages arrive in order, so the answer to a later
+    /// round shows that they were lost.
+    round: u64,
+    /// Index of the last entry, or offset in bytes after the snapshot chunk.
+    end: u64,
+    /// Size of the entries or of the chunk.
+    bytes: usize,
+}
+
+/// What an answer says about entries or a snapshot chunk on their way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Delivery {
+    /// They may still arrive.
+    Pending,
+    /// They arrived.
+    Arrived,
+    /// They were lost.
+    Lost,
+}
+
+impl InFlight {
+    /// Evaluates an answer of this round, which acknowledges everything up to `position`.
+    fn evaluate(self, round: u64, position: u64) -> Delivery {
+        if position >= self.end {
+            Delivery::Arrived
+        } else if round > self.round {
+            Delivery::Lost
+        } else {
+            Delivery::Pending
+        }
+    }
+}
+
 /// Replication progress of another replica, as its leader knows it.
 #[derive(Clone, Debug, Default)]
 struct Progress {
@@ -117,8 +156,8 @@
     next_index: Index,
     /// Highest index that the replica is known to hold.
     match_index: Index,
-    /// Whether entries or a snapshot chunk were sent and not answered yet.
-    in_flight: bool,
+    /// Entries or the snapshot chunk that were sent and not answered yet.
+    in_flight: Option<InFlight>,
     /// Newest heartbeat round that the replica has acknowledged.
     acked_round: u64,
     /// Offset in bytes of the next snapshot chunk to send.
@@ -155,8 +194,8 @@
     /// Last index, last term and bytes so far of the snapshot that is being received.
     incoming_snapshot: Option<(Index, Term, Vec<u8>)>,
     effects: Vec<Effect>,
-    /// Bytes of entries that were sent again before an answer, since they were taken last.
-    resent_bytes: usize,
+    /// Bytes of entries and snapshot chunks that were lost, since they were taken last.
+    lost_bytes: usize,
 }
 
 impl Raft {
@@ -193,7 +232,7 @@
             seen_leader: false,
             incoming_snapshot: None,
             effects: Vec::new(),
-            resent_bytes: 0,
+            lost_bytes: 0,
         };
         raft.reset_election_deadline(now);
         raft.skip_startup_wait(now);
@@ -248,10 +287,10 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Returns the bytes of entries that were sent again before they were answered, since the last
-    /// call.
-    pub fn take_resent_bytes(&mut self) -> usize {
-        std::mem::take(&mut self.resent_bytes)
+    /// Returns the bytes of entries and snapshot chunks that were lost on their way to a replica
+    /// since the last call; they are sent again.
+    pub fn take_lost_bytes(&mut self) -> usize {
+        std::mem::take(&mut self.lost_bytes)
     }
 
     /// Advances time: starts elections, and for a leader sends heartbeats, checks the quorum and
--- a/src/raft/replication.rs
+++ b/src/raft/replication.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 
-use super::{Effect, Progress, Raft, Role};
+use super::{Delivery, Effect, InFlight, Progress, Raft, Role};
 use crate::ids::{Index, Moment, ReplicaId};
 use crate::wire::{Append, AppendReply, Entry, Install, InstallReply, peer};
 
@@ -18,22 +18,37 @@
         self.promote_learner(now);
     }
 
-    /// Starts a new heartbeat round: sends every other replica an append, even if it is empty.
+    /// Starts a new heartbeat round: sends every other replica an append, even if it is empty. It
+    /// has no entries while earlier ones are on their way, so that a full link is not filled with
+    /// copies of them.
     pub(super) fn broadcast_heartbeat(&mut self, now: Moment) {
         self.last_heartbeat_at = now;
         self.round += 1;
         self.unacked_rounds.push_back((self.round, now));
         for id in self.other_replicas() {
-            self.send_append(id);
+            match self.progress_of(id).in_flight {
+                Some(_) => self.send_probe(id),
+                None => self.send_append(id),
+            }
         }
     }
 
+    /// Sends an append without entries, or a snapshot chunk without bytes.
+    fn send_probe(&mut self, to: ReplicaId) {
+        let prev_index = self.progress_of(to).next_index - 1;
+        let kind = match self.log.term_of(prev_index) {
+            Some(prev_term) => self.build_append(prev_index, prev_term, Vec::new()),
+            None => self.build_install(to, 0),
+        };
+        self.send(to, kind);
+    }
+
     /// Sends entries to replicas that lack some and have no unanswered append.
     pub(super) fn replicate(&mut self, _now: Moment) {
         for id in self.other_replicas() {
             let progress = self.progress_of(id);
             let behind = progress.next_index <= self.log.last_index();
-            if behind && !progress.in_flight {
+            if behind && progress.in_flight.is_none() {
                 self.send_append(id);
             }
         }
@@ -50,38 +65,52 @@
 
     /// Sends the next entries to a replica, or the snapshot if they were compacted.
     fn send_append(&mut self, to: ReplicaId) {
-        let next_index = self.progress_of(to).next_index;
-        let round = self.round;
-        let prev_index = next_index - 1;
+        let prev_index = self.progress_of(to).next_index - 1;
         let Some(prev_term) = self.log.term_of(prev_index) else {
             self.send_snapshot_chunk(to);
             return;
         };
-        let entries = self.log.slice(next_index, self.cfg.max_append_entries);
-        if self.progress_of(to).in_flight {
-            self.resent_bytes += entries.iter().map(Message::encoded_len).sum::<usize>();
-        }
-        self.progress_mut(to).in_flight = !entries.is_empty();
-        let commit = self.commit_index;
-        let append = Append { prev_index, prev_term, entries, commit, round };
-        self.send(to, peer::Kind::Append(append));
+        let entries =
+            self.log.batch(prev_index + 1, self.cfg.max_append_entries, self.cfg.max_append_bytes);
+        let in_flight = InFlight {
+            round: self.round,
+            end: prev_index + entries.len() as u64,
+            bytes: entries.iter().map(Message::encoded_len).sum(),
+        };
+        self.progress_mut(to).in_flight = (!entries.is_empty()).then_some(in_flight);
+        let append = self.build_append(prev_index, prev_term, entries);
+        self.send(to, append);
+    }
+
+    fn build_append(&self, prev_index: Index, prev_term: u64, entries: Vec<Entry>) -> peer::Kind {
+        let (commit, round) = (self.commit_index, self.round);
+        peer::Kind::Append(Append { prev_index, prev_term, entries, commit, round })
     }
 
     /// Sends the next chunk of the snapshot.
     fn send_snapshot_chunk(&mut self, to: ReplicaId) {
+        let chunk = self.build_install(to, self.cfg.snapshot_chunk_bytes);
+        if let peer::Kind::Install(install) = &chunk {
+            let bytes = install.data.len();
+            let end = install.offset + bytes as u64;
+            self.progress_mut(to).in_flight = Some(InFlight { round: self.round, end, bytes });
+        }
+        self.send(to, chunk);
+    }
+
+    /// Builds the next snapshot chunk for a replica, of at most `max_bytes`.
+    fn build_install(&mut self, to: ReplicaId, max_bytes: usize) -> peer::Kind {
         let data = self.log.snapshot().clone();
         let start = (self.progress_of(to).snapshot_offset as usize).min(data.len());
-        let end = (start + self.cfg.snapshot_chunk_bytes).min(data.len());
-        self.progress_mut(to).in_flight = true;
-        let install = Install {
+        let end = (start + max_bytes).min(data.len());
+        peer::Kind::Install(Install {
             last_index: self.log.snapshot_index(),
             last_term: self.log.snapshot_term(),
             offset: start as u64,
             data: data.slice(start..end),
             done: end == data.len(),
             round: self.round,
-        };
-        self.send(to, peer::Kind::Install(install));
+        })
     }
 
     /// Stores the entries of a leader if the log matches up to the entry before them.
@@ -158,6 +187,19 @@
         }
     }
 
+    /// Forgets what is on its way to a replica if an answer of this round, up to `position`, shows
+    /// that it arrived or was lost.
+    fn settle_in_flight(&mut self, from: ReplicaId, round: u64, position: u64) {
+        let progress = self.progress_mut(from);
+        let Some(in_flight) = progress.in_flight else { return };
+        match in_flight.evaluate(round, position) {
+            Delivery::Pending => return,
+            Delivery::Arrived => {}
+            Delivery::Lost => self.lost_bytes += in_flight.bytes,
+        }
+        self.progress_mut(from).in_flight = None;
+    }
+
     /// Updates the progress of a replica; after a conflict it resends from the returned index.
     pub(super) fn on_append_reply(&mut self, now: Moment, from: ReplicaId, reply: AppendReply) {
         if !self.is_leader() || !self.other_replicas().contains(&from) {
@@ -165,8 +207,8 @@
         }
         self.record_acked_round(from, reply.round);
         let last = self.log.last_index();
+        self.settle_in_flight(from, reply.round, reply.index);
         let progress = self.progress_mut(from);
-        progress.in_flight = false;
         progress.last_reply_at = now;
         if reply.ok {
             progress.match_index = progress.match_index.max(reply.index.min(last));
@@ -174,6 +216,7 @@
         } else {
             let hint = reply.index.min(progress.next_index.saturating_sub(2));
             progress.next_index = (hint + 1).max(progress.match_index + 1);
+            progress.in_flight = None;
             self.send_append(from);
         }
         self.advance_commit(now);
@@ -228,9 +271,13 @@
         }
         self.record_acked_round(from, reply.round);
         let base = self.log.snapshot_index();
+        let position = if reply.done { u64::MAX } else { reply.offset };
+        self.settle_in_flight(from, reply.round, position);
         let progress = self.progress_mut(from);
-        progress.in_flight = false;
         progress.last_reply_at = now;
+        if progress.in_flight.is_some() {
+            return;
+        }
         if reply.done {
             progress.match_index = progress.match_index.max(reply.last_index);
             progress.next_index = progress.next_index.max(progress.match_index + 1);
