Fetch documents in parts, from one replica at a time, and end no link for it

What callers saw: 404 on routes acknowledged before; requests at servers that had said they leave. Cause: an entry asked up to six replicas at once for the whole document, gave up after a second, closed the link over which announcements come too, and began anew, for as long as the links were full. Change: parts of 32 KB, asked for one by one; a part that does not come in time is asked of the next replica, at the offset reached, with twice the time. Announcements wait for one part at most.

--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -15,10 +15,11 @@
 use super::core_config::Published;
 use crate::clock::boot_now;
 use crate::directory::Directory;
+use crate::document::UnpackError;
 use crate::event;
 use crate::wire::envelope::Body;
 use crate::wire::server::{Conn, Handler};
-use crate::wire::{Announcement, News, Standing, Subscribe};
+use crate::wire::{Announcement, Document, DocumentPart, FetchDocument, News, Standing, Subscribe};
 
 /// Interval between two checks for endpoints that have become silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -31,6 +32,10 @@
 /// once after a restart.
 const LOAD_ADDRESSES_DELAY: Duration = Duration::from_millis(25);
 
+/// Size of the parts in which documents are sent, in bytes. Announcements that are queued meanwhile
+/// wait for one part, not for the document.
+const DOCUMENT_PART_BYTES: usize = 32 * 1024;
+
 /// Fraction of the silence timeout within which an endpoint known from an earlier run has to
 /// announce itself.
 const RESTORED_SILENCE_SHARE: f64 = 0.6;
@@ -196,15 +201,18 @@
     }
 
     /// Answers a subscriber that fetches the document.
-    fn send_document(&self, conn: &Conn, call: u64) {
+    fn send_document(&self, conn: &Conn, call: u64, fetch: FetchDocument) {
         let published = self.published.borrow().clone();
         let conn = conn.clone();
         tokio::spawn(async move {
-            if published.has_leader {
-                conn.send(call, Body::Document(published.document)).await;
-            } else {
+            if !published.has_leader {
                 conn.refuse(call, "this replica knows no leader").await;
+                return;
             }
+            match build_reply(&published.document, fetch) {
+                Ok(reply) => conn.send(call, reply).await,
+                Err(e) => conn.refuse(call, e.to_string()).await,
+            };
         });
     }
 
@@ -269,6 +277,26 @@
     }
 }
 
+/// Builds the reply to a fetch: a part of the document, or the whole of it for processes that ask
+/// for no part.
+fn build_reply(document: &Document, fetch: FetchDocument) -> Result<Body, UnpackError> {
+    if fetch.version == 0 {
+        let (version, body) = (document.version, document.content()?);
+        return Ok(Body::Document(Document { version, body, unpacked_len: 0 }));
+    }
+    let (body, len) = (&document.body, document.body.len());
+    let offset = if fetch.version == document.version { fetch.offset as usize } else { 0 };
+    let start = offset.min(len);
+    let end = (start + DOCUMENT_PART_BYTES).min(len);
+    Ok(Body::DocumentPart(DocumentPart {
+        version: document.version,
+        offset: start as u64,
+        data: body.slice(start..end),
+        len: len as u64,
+        unpacked_len: document.unpacked_len,
+    }))
+}
+
 async fn forward_updates(conn: Conn, call: u64, mut rx: mpsc::Receiver<News>) {
     while let Some(update) = rx.recv().await {
         if !conn.send(call, Body::News(update)).await {
@@ -292,7 +320,7 @@
     fn on_message(&self, conn: &Conn, call: u64, body: Body) {
         match body {
             Body::Subscribe(subscribe) => self.hub.subscribe(conn, call, subscribe),
-            Body::FetchDocument(_) => self.hub.send_document(conn, call),
+            Body::FetchDocument(fetch) => self.hub.send_document(conn, call, fetch),
             Body::Announcement(announcement) => self.hub.apply_announcement(announcement),
             Body::RollCall(report) => self.bootstrap.handle_report(conn, call, report),
             other => self.fallback.on_message(conn, call, other),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod config_records;
 pub mod core;
 pub mod core_config;
+pub mod document_fetcher;
 pub mod endpoint_file;
 pub mod hub;
 pub mod joining;
--- a/src/control/subscriber.rs
+++ b/src/control/subscriber.rs
@@ -8,17 +8,17 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::document_fetcher::{DocumentFetch, DocumentFetcher};
 use super::service::SeedSource;
 use crate::clock::boot_now;
 use crate::wire::envelope::Body;
 use crate::wire::link::{Link, LinkConfig};
-use crate::wire::{FetchDocument, News, Subscribe};
+use crate::wire::{News, Subscribe};
 
 /// Longest time until seeds and advertised replicas are read again for new subscriptions.
 const MAX_RESCAN_INTERVAL: Duration = Duration::from_millis(500);
@@ -37,15 +37,6 @@
 /// Upper bound of the reconnect delay, which doubles with each attempt after [`EAGER_PERIOD`].
 const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(800);
 
-/// Time that a replica's document is left to another replica that was asked first.
-const FETCH_PATIENCE: Duration = Duration::from_millis(300);
-
-/// Time that each replica before it in this subscriber's own order has to offer a document too.
-const FETCH_TURN: Duration = Duration::from_millis(10);
-
-/// Timeout for the reply with a document.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// Receives the updates of subscribed control processes and the state of their connections.
 pub trait UpdateListener: Send + Sync + 'static {
     /// Subscription to send on each new connection.
@@ -74,28 +65,12 @@
     fn on_removed(&self, control: SocketAddr);
 }
 
-/// Outcome of a fetch of a document.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DocumentFetch {
-    /// Version that was offered.
-    pub offered: u64,
-    /// Bytes of the document that arrived.
-    pub bytes: usize,
-    /// Time from the request to the outcome.
-    pub elapsed: Duration,
-    /// Why the fetch failed; `None` if the document arrived.
-    pub failure: Option<String>,
-}
-
 /// Keeps one subscription to each known control process, for one listener.
 pub struct ReplicaSubscriber {
     listener: Arc<dyn UpdateListener>,
     /// Addresses of the replicas that each subscribed process advertised last.
     advertised: Mutex<HashMap<SocketAddr, Vec<SocketAddr>>>,
-    /// Held while a document is fetched, so that the same one is not sent by all replicas at once.
-    fetching: Semaphore,
-    /// Determines the order in which this subscriber prefers replicas.
-    order_seed: u64,
+    fetcher: Arc<DocumentFetcher>,
     rescan_requested: Notify,
     link: LinkConfig,
     cx: CancellationToken,
@@ -108,11 +83,11 @@
         link: LinkConfig,
         cx: CancellationToken,
     ) -> Arc<Self> {
+        let fetcher = Arc::new(DocumentFetcher::new(Arc::clone(&listener)));
         Arc::new(Self {
             listener,
             advertised: Mutex::default(),
-            fetching: Semaphore::new(1),
-            order_seed: rand::random(),
+            fetcher,
             rescan_requested: Notify::new(),
             link,
             cx,
@@ -122,6 +97,7 @@
     /// Subscribes to the seeds and to all replicas that subscribed processes advertise, until
     /// cancelled.
     pub async fn run(self: Arc<Self>, seeds: SeedSource) {
+        tokio::spawn(Arc::clone(&self.fetcher).run(self.cx.clone()));
         let mut tasks: HashMap<SocketAddr, AbortHandle> = HashMap::new();
         while !self.cx.is_cancelled() {
             let mut targets = seeds();
@@ -133,6 +109,7 @@
                 if !keep {
                     task.abort();
                     self.advertised.lock().remove(addr);
+                    self.fetcher.disconnect(*addr);
                     self.listener.on_removed(*addr);
                 }
                 keep
@@ -180,60 +157,22 @@
         if call.send(Body::Subscribe(self.listener.subscription())).await.is_err() {
             return false;
         }
+        self.fetcher.connect(addr, link.clone());
         self.listener.on_connected(addr);
         while let Some(body) = call.next().await {
             let Body::News(update) = body else { continue };
             let offered = update.offered_version;
             self.handle_update(addr, update);
-            if offered > self.listener.held_version() {
-                tokio::spawn(Arc::clone(self).fetch_document(addr, link.clone(), offered));
+            if offered > 0 {
+                self.fetcher.offer(addr, offered);
             }
         }
         link.close();
+        self.fetcher.disconnect(addr);
         self.listener.on_disconnected(addr);
         true
     }
 
-    /// Fetches an offered document unless another replica has sent it by then. If that takes too
-    /// long, it is fetched here too.
-    async fn fetch_document(self: Arc<Self>, addr: SocketAddr, link: Link, offered: u64) {
-        sleep(FETCH_TURN * self.position(addr)).await;
-        let turn = timeout(FETCH_PATIENCE, self.fetching.acquire()).await;
-        if self.listener.held_version() >= offered {
-            return;
-        }
-        let started = boot_now();
-        let reply = link.request(Body::FetchDocument(FetchDocument {}), FETCH_TIMEOUT).await;
-        let elapsed = boot_now().saturating_sub(started);
-        let (bytes, failure) = match &reply {
-            Ok(Body::Document(document)) => (document.body.len(), None),
-            Ok(_) => (0, Some("not a document".to_owned())),
-            Err(e) => (0, Some(e.to_string())),
-        };
-        self.listener.on_fetched(addr, &DocumentFetch { offered, bytes, elapsed, failure });
-        match reply {
-            Ok(Body::Document(document)) => {
-                let update = News { document: Some(document), ..News::default() };
-                self.listener.on_update(addr, update);
-            }
-            // A new subscription is offered the document again.
-            _ => link.close(),
-        }
-        drop(turn);
-    }
-
-    /// Position of a replica in this subscriber's own order of those that it hears.
-    ///
-    /// A new leader offers the document first, and all subscribers at the same time. Its link would
-    /// be full of the document while those of the other replicas are idle.
-    fn position(&self, addr: SocketAddr) -> u32 {
-        let advertised = self.advertised.lock();
-        preference_order(self.order_seed, advertised.keys())
-            .iter()
-            .position(|a| *a == addr)
-            .map_or(0, |position| position as u32)
-    }
-
     /// Notes the replicas that an update advertises and passes it to the listener.
     fn handle_update(&self, addr: SocketAddr, update: News) {
         if !update.replicas.is_empty() {
@@ -246,22 +185,3 @@
         self.listener.on_update(addr, update);
     }
 }
-
-/// Orders replicas in a way that depends on the subscriber.
-///
-/// ```
-/// use bitternlead::control::subscriber::preference_order;
-///
-/// let replicas = ["10.0.0.1:7340".parse().unwrap(), "10.0.0.2:7340".parse().unwrap()];
-/// let firsts = (0..100).filter(|seed| preference_order(*seed, &replicas)[0] == replicas[0]);
-/// assert!((30..70).contains(&firsts.count()), "subscribers are spread over the replicas");
-/// ```
-pub fn preference_order<'a>(
-    seed: u64,
-    replicas: impl IntoIterator<Item = &'a SocketAddr>,
-) -> Vec<SocketAddr> {
-    let rank = |addr: &SocketAddr| xxh3_64_with_seed(addr.to_string().as_bytes(), seed);
-    let mut order: Vec<SocketAddr> = replicas.into_iter().copied().collect();
-    order.sort_by_cached_key(rank);
-    order
-}
--- a/src/gateway/control_updates.rs
+++ b/src/gateway/control_updates.rs
@@ -6,7 +6,8 @@
 use super::load_exchange::LoadPeers;
 use super::state::Gateway;
 use crate::clock::boot_now;
-use crate::control::subscriber::{DocumentFetch, UpdateListener};
+use crate::control::document_fetcher::DocumentFetch;
+use crate::control::subscriber::UpdateListener;
 use crate::event;
 use crate::wire::{News, Subscribe};
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -6,7 +6,7 @@
     pub call: u64,
     #[prost(
         oneof = "envelope::Body",
-        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60"
+        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -79,6 +79,8 @@
         FetchDocument(super::FetchDocument),
         #[prost(message, tag = "60")]
         Document(super::Document),
+        #[prost(message, tag = "61")]
+        DocumentPart(super::DocumentPart),
     }
 }
 /// Handshake, the first frame in each direction: protocol version, node and role of the sender.
@@ -929,9 +931,32 @@
     #[prost(uint64, tag = "7")]
     pub offered_version: u64,
 }
-/// Asks for the configuration document that was offered; the reply is a document.
+/// Asks for a part of the configuration document that was offered, from an offset in its body on.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct FetchDocument {}
+pub struct FetchDocument {
+    /// Version that was offered; 0 from processes that expect the whole document in one reply.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+}
+/// Part of a document. If the replica holds another version than the one asked for, it is the first
+/// part of that one.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DocumentPart {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub data: ::prost::bytes::Bytes,
+    /// Length of the whole body.
+    #[prost(uint64, tag = "4")]
+    pub len: u64,
+    /// As in the document.
+    #[prost(uint64, tag = "5")]
+    pub unpacked_len: u64,
+}
 /// Report of a replica to the coordinator when the cluster is formed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RollCall {
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -19,7 +19,7 @@
 use bitternlead::wire::envelope::Body;
 use bitternlead::wire::link::LinkConfig;
 use bitternlead::wire::server::{Conn, Handler, serve};
-use bitternlead::wire::{Announcement, Document, News, Standing, Subscribe};
+use bitternlead::wire::{Announcement, Document, DocumentPart, News, Standing, Subscribe};
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -94,7 +94,10 @@
                 if !self.answers {
                     return;
                 }
-                Body::Document(Document { version: OFFERED_VERSION, ..Document::default() })
+                Body::DocumentPart(DocumentPart {
+                    version: OFFERED_VERSION,
+                    ..DocumentPart::default()
+                })
             }
             _ => return,
         };
