Tell followers of a commit at once, so that they offer a document with the leader

Cause: followers learnt of a commit with the next heartbeat, up to 120 ms later. Change: a follower that holds an entry which it does not know to be committed gets an empty append. followers_learn_of_a_commit_without_waiting_for_a_heartbeat failed before and passes.

--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -158,6 +158,8 @@
     match_index: Index,
     /// Entries or the snapshot chunk that were sent and not answered yet.
     in_flight: Option<InFlight>,
+    /// Highest index that the replica was told to be committed.
+    told_commit: Index,
     /// Newest heartbeat round that the replica has acknowledged.
     acked_round: u64,
     /// Offset in bytes of the next snapshot chunk to send.
--- a/src/raft/replication.rs
+++ b/src/raft/replication.rs
@@ -43,12 +43,14 @@
         self.send(to, kind);
     }
 
-    /// Sends entries to replicas that lack some and have no unanswered append.
+    /// Sends entries to replicas that lack some, and the commit index to those that hold entries
+    /// which they do not know to be committed; both only if no append is unanswered.
     pub(super) fn replicate(&mut self, _now: Moment) {
         for id in self.other_replicas() {
             let progress = self.progress_of(id);
             let behind = progress.next_index <= self.log.last_index();
-            if behind && progress.in_flight.is_none() {
+            let unaware = progress.told_commit < progress.match_index.min(self.commit_index);
+            if (behind || unaware) && progress.in_flight.is_none() {
                 self.send_append(id);
             }
         }
@@ -78,6 +80,7 @@
             bytes: entries.iter().map(Message::encoded_len).sum(),
         };
         self.progress_mut(to).in_flight = (!entries.is_empty()).then_some(in_flight);
+        self.progress_mut(to).told_commit = self.commit_index.min(in_flight.end);
         let append = self.build_append(prev_index, prev_term, entries);
         self.send(to, append);
     }
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -687,6 +687,22 @@
     assert_eq!(sent, 2, "one append to each of the two others");
 }
 
+#[test]
+fn followers_learn_of_a_commit_without_waiting_for_a_heartbeat() {
+    let mut sim = Simulation::new(8, 3);
+    sim.cfg.heartbeat = Duration::from_secs(3);
+    sim.cfg.election_timeout = Duration::from_secs(10);
+    for at in 0..3 {
+        sim.restart(at);
+    }
+    assert!(sim.run_until(60_000, |s| s.leader().is_some()));
+    sim.run_until(200, |_| false);
+    let index = sim.propose().unwrap();
+    // Three trips of up to 20 ms each, in steps of 10 ms.
+    let applied = |s: &Simulation| s.hosts.iter().all(|h| h.applied >= index);
+    assert!(sim.run_until(100, applied), "not applied everywhere after three trips");
+}
+
 #[test]
 fn one_append_carries_a_bounded_number_of_bytes() {
     let mut sim = Simulation::new(8, 3);
