--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -368,9 +368,12 @@
         self.fleet.apply(delta.version, true, &delta.records);
     }
 
-    /// Takes a snapshot when the log holds `snapshot_entries` entries.
+    /// Takes a snapshot when the log holds `snapshot_entries` entries or `snapshot_log_bytes`. A
+    /// log shorter than two snapshots is kept, so that writing them costs no more than the log.
     fn compact_if_due(&mut self) {
-        if self.raft.log().len() < self.cfg.snapshot_entries {
+        let log = self.raft.log();
+        let max_bytes = self.cfg.snapshot_log_bytes.max(2 * log.snapshot().len());
+        if log.len() < self.cfg.snapshot_entries && log.bytes() < max_bytes {
             return;
         }
         let applied = self.state.applied_index;
--- a/src/control/core_config.rs
+++ b/src/control/core_config.rs
@@ -12,6 +12,8 @@
     pub lease: Duration,
     /// Number of log entries after which a snapshot is taken.
     pub snapshot_entries: usize,
+    /// Size of the log entries after which a snapshot is taken, in bytes.
+    pub snapshot_log_bytes: usize,
     /// Timing of the node registry.
     pub registry: NodeRegistryConfig,
     /// Maximum wait for input, and so the resolution of all timers of the core.
@@ -51,6 +53,7 @@
         Self {
             lease: Duration::from_millis(3000),
             snapshot_entries: 20_000,
+            snapshot_log_bytes: 16 * 1024 * 1024,
             registry: NodeRegistryConfig::default(),
             tick: Duration::from_millis(20),
             on_write_error: OnWriteError::Exit,
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -292,6 +292,7 @@
     let peers = PeerSender::new(Handle::current(), link, own.address.clone(), cx.clone());
     let core_cfg = CoreConfig {
         snapshot_entries: 48,
+        snapshot_log_bytes: 2 * 1024 * 1024,
         tick: Duration::from_millis(30),
         on_write_error: OnWriteError::Rewrite,
         min_document_copies: cfg.tolerance + 1,
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -16,6 +16,8 @@
     snapshot_members: Vec<Replica>,
     snapshot: Bytes,
     entries: VecDeque<Entry>,
+    /// Size of the encoded entries.
+    bytes: usize,
     members: Vec<Replica>,
     members_index: Index,
 }
@@ -29,6 +31,7 @@
         }
         let base = log.snapshot_index;
         log.entries = entries.into_iter().filter(|e| e.index > base).collect();
+        log.measure();
         log.refresh_members();
         log
     }
@@ -63,6 +66,15 @@
         self.entries.len()
     }
 
+    /// Size of the encoded entries after the snapshot in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    fn measure(&mut self) {
+        self.bytes = self.entries.iter().map(Message::encoded_len).sum();
+    }
+
     /// Whether no entry follows the snapshot.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -128,6 +140,7 @@
             self.members = replicas;
             self.members_index = entry.index;
         }
+        self.bytes += entry.encoded_len();
         self.entries.push_back(entry);
     }
 
@@ -135,6 +148,7 @@
     pub fn truncate(&mut self, from: Index) {
         let keep = from.saturating_sub(self.snapshot_index + 1) as usize;
         self.entries.truncate(keep);
+        self.measure();
         if self.members_index >= from {
             self.refresh_members();
         }
@@ -149,6 +163,7 @@
                 self.snapshot_members = replicas;
             }
         }
+        self.measure();
         self.snapshot_index = index;
         self.snapshot_term = term;
         self.snapshot = snapshot;
@@ -167,6 +182,7 @@
         } else {
             self.entries.clear();
         }
+        self.measure();
         self.snapshot_index = snapshot.last_index;
         self.snapshot_term = snapshot.last_term;
         self.snapshot_members = snapshot.members.map(|m| m.replicas).unwrap_or_default();
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -4,6 +4,8 @@
 
 use bitternlead::platform::settings::PlatformSettings;
 use nix::sys::signal::Signal;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 
 use crate::deployment::{Deployment, Layout, wait_until};
@@ -33,6 +35,24 @@
     wait_until("readiness", async || nodes.readiness(0).await == 200).await;
 }
 
+/// Half of the smallest disk of the deployments, which has 64 MB.
+const DISK_BOUND_BYTES: u64 = 32 * 1024 * 1024;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_documents_in_succession_do_not_fill_the_disk() {
+    let mut nodes = Deployment::start(1, 0).await;
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..46 {
+        let mut document = nodes.document();
+        let random: String = (0..400_000).map(|_| format!("{:08x}", rng.next_u32())).collect();
+        document["Notes"] = random.into();
+        nodes.put(&document).await;
+        let files = std::fs::read_dir(nodes.data_folder(0)).unwrap();
+        let used: u64 = files.filter_map(|f| Some(f.ok()?.metadata().ok()?.len())).sum();
+        assert!(used <= DISK_BOUND_BYTES, "{used} bytes of disk are used");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn invalid_documents_are_refused_and_change_nothing() {
     let mut nodes = Deployment::start(1, 0).await;
