--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -20,6 +20,7 @@
 
 use super::envelope::Body;
 use super::frame::{DEFAULT_MAX_FRAME_BYTES, EnvelopeCodec, FrameError, PROTOCOL_VERSION};
+use super::progress::ProgressReader;
 use super::{Ack, Envelope, Hello};
 use crate::faults::{self, Fault};
 
@@ -39,7 +40,7 @@
     pub connect_timeout: Duration,
     /// Time without a frame to send after which a keepalive frame is sent.
     pub keepalive_interval: Duration,
-    /// Time without a received frame after which the link counts as lost; longer than the peer's
+    /// Time without received bytes after which the link counts as lost; longer than the peer's
     /// keepalive interval.
     pub idle_timeout: Duration,
 }
@@ -82,7 +83,7 @@
     },
 }
 
-pub(super) type FrameReader = FramedRead<OwnedReadHalf, EnvelopeCodec>;
+pub(super) type FrameReader = FramedRead<ProgressReader<OwnedReadHalf>, EnvelopeCodec>;
 
 /// Senders to the open calls, by call id.
 type OpenCalls = Arc<Mutex<HashMap<u64, mpsc::UnboundedSender<Body>>>>;
@@ -260,7 +261,7 @@
 pub(super) fn split(framed: Framed<TcpStream, EnvelopeCodec>) -> (FrameReader, OwnedWriteHalf) {
     let parts = framed.into_parts();
     let (read, write) = parts.io.into_split();
-    let mut reader = FramedRead::new(read, parts.codec);
+    let mut reader = FramedRead::new(ProgressReader::new(read), parts.codec);
     reader.read_buffer_mut().extend_from_slice(&parts.read_buf);
     (reader, write)
 }
@@ -326,17 +327,23 @@
     faults::inject(fail_point) == Some(Fault::Drop)
 }
 
-/// Next frame, or `None` at the end of the stream or after `idle_timeout` without one. Frames that
-/// a fail point drops do not extend the wait.
+/// Next frame, or `None` at the end of the stream or once no byte has arrived for `idle_timeout`.
+/// Frames that a fail point drops do not extend the wait.
 pub(super) async fn next_frame(
     stream: &mut FrameReader,
     idle_timeout: Duration,
 ) -> Option<Result<Envelope, FrameError>> {
-    let deadline = Instant::now() + idle_timeout;
+    let started = Instant::now();
+    let mut blocked = false;
     loop {
-        let frame = tokio::time::timeout_at(deadline, stream.next()).await.ok().flatten();
-        if frame.is_none() || !is_blocked("wire.receive") {
-            return frame;
+        // A large frame on a thin link takes longer than the timeout.
+        let last = if blocked { started } else { started.max(stream.get_ref().last_read()) };
+        let deadline = last + idle_timeout;
+        match tokio::time::timeout_at(deadline, stream.next()).await {
+            Ok(frame) if frame.is_none() || !is_blocked("wire.receive") => return frame,
+            Ok(_) => blocked = true,
+            Err(_) if !blocked && stream.get_ref().last_read() > last => {}
+            Err(_) => return None,
         }
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod frame;
 pub mod link;
+mod progress;
 pub mod server;
 
 pub use self::generated::*;
--- a/tests/thin_links.rs
+++ b/tests/thin_links.rs
@@ -11,7 +11,7 @@
 use bitternlead::control::subscriber::{ReplicaSubscriber, UpdateListener};
 use bitternlead::events::discarding_logger;
 use bitternlead::wire::envelope::Body;
-use bitternlead::wire::link::LinkConfig;
+use bitternlead::wire::link::{Link, LinkConfig};
 use bitternlead::wire::server::{Conn, Handler, serve};
 use bitternlead::wire::{Announcement, Document, News, Standing, Subscribe};
 use bytes::Bytes;
@@ -38,6 +38,18 @@
     fn on_closed(&self, _conn: &Conn) {}
 }
 
+/// Sends every message back.
+struct Echo;
+
+impl Handler for Echo {
+    fn on_message(&self, conn: &Conn, call: u64, body: Body) {
+        let conn = conn.clone();
+        tokio::spawn(async move { conn.send(call, body).await });
+    }
+
+    fn on_closed(&self, _conn: &Conn) {}
+}
+
 /// A control replica that holds a document, reached over a link with a limited rate.
 struct ThinReplica {
     hub: Arc<Hub>,
@@ -228,6 +240,21 @@
     assert!(sent < 1_300_000, "{sent} bytes were sent for 1,000,000");
 }
 
+#[tokio::test]
+async fn a_link_is_not_lost_while_a_large_frame_arrives() {
+    let cx = CancellationToken::new();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let front = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (behind, addr) = (listener.local_addr().unwrap(), front.local_addr().unwrap());
+    tokio::spawn(serve(listener, Arc::new(Echo), link(), discarding_logger(), cx.clone()));
+    tokio::spawn(forward_slowly(front, behind, THIN_LINK / 2.0, Arc::default()));
+    let link = Link::connect(addr, &link(), &cx).await.unwrap();
+    let document = random_document(7);
+    let reply = link.request(Body::Document(document.clone()), Duration::from_secs(20)).await;
+    assert_eq!(reply.ok(), Some(Body::Document(document)), "the link was lost");
+    cx.cancel();
+}
+
 #[tokio::test]
 async fn a_document_that_many_replicas_offer_over_thin_links_is_sent_once() {
     let mut replicas = Vec::new();
