--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! with simulated servers, callers and operators.
 
 mod deployment;
+mod limits;
 mod requests;
 mod servers;
 mod system;
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -9,16 +9,16 @@
 use crate::servers::{EVENTS, Records, Server, ServerMode};
 
 /// A deployment with servers, ready to serve.
-struct Fixture {
-    nodes: Deployment,
-    records: Records,
+pub struct Fixture {
+    pub nodes: Deployment,
+    pub records: Records,
     engines: Vec<Server>,
     orders: Vec<Server>,
 }
 
 /// Starts one control replica, entries, two engines and two order servers, and waits until the
 /// first entry sends requests to both order servers.
-async fn start_fixture(entries: usize) -> Fixture {
+pub async fn start_fixture(entries: usize) -> Fixture {
     let mut nodes = Deployment::start(1, entries).await;
     let document = nodes.document();
     nodes.put(&document).await;
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -1,6 +1,7 @@
 //! Simulated servers that announce themselves to control, record their requests, and fail in the
 //! way that a test selects.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -67,6 +68,8 @@
     pub runs: Arc<Mutex<Vec<Run>>>,
     /// Requests whose caller disconnected before the end of the stream, and when it was noticed.
     pub disconnects: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Requests a second that servers name in their responses, by server id.
+    pub limits: Arc<Mutex<HashMap<String, f64>>>,
     /// Ids of reservations, their tokens, and when they expire.
     pub reservations: Arc<Mutex<Vec<(String, u64, Instant)>>>,
 }
@@ -76,6 +79,17 @@
         self.runs.lock().iter().filter(|r| r.request == request).cloned().collect()
     }
 
+    /// Highest number of requests that arrived at a server within `window` since `start`.
+    pub fn most_arrivals(&self, server: &str, start: Instant, window: Duration) -> usize {
+        let runs = self.runs.lock();
+        let times: Vec<Instant> =
+            runs.iter().filter(|r| r.server == server && r.at >= start).map(|r| r.at).collect();
+        let count_from = |from: &Instant| {
+            times.iter().filter(|at| **at >= *from && at.duration_since(*from) < window).count()
+        };
+        times.iter().map(count_from).max().unwrap_or(0)
+    }
+
     pub fn times_run(&self, request: &str) -> usize {
         self.of(request).iter().filter(|r| r.ran).count()
     }
@@ -231,12 +245,17 @@
         helpers: text("helpers"),
         at: Instant::now(),
     });
+    let limit = records.limits.lock().get(&server).copied();
+    let with_limit = |head: http::response::Builder| match limit {
+        Some(limit) => head.header("server-limit", limit.to_string()),
+        None => head,
+    };
     if is_refused {
-        let refusal = Response::builder().status(503).header("not-executed", "1");
+        let refusal = with_limit(Response::builder().status(503).header("not-executed", "1"));
         return Ok(refusal.header("attempt-id", id).body(full_body("")).unwrap());
     }
     let response_id = if mode == ServerMode::WrongRequestId { "another" } else { id.as_str() };
-    let head = Response::builder()
+    let head = with_limit(Response::builder())
         .header("attempt-id", response_id)
         .header("server-signature", format!("signed-by-{server}"));
     if mode == ServerMode::Fails {
