Keep the limits that endpoints name, over all entries together

What callers saw: nothing yet; servers in need got two to three times the rate that they had named. Change: the adapter decodes the rate. An entry counts its sends to such an endpoint, and the load that entries exchange carries the rate, its age and the number of sends, so that each sees the rate of all. An endpoint without room is no candidate. Reports arrive late: if more requests compete for one send than the delay allows for, each takes part with a probability only, and sends in excess are made up for by a pause. E616 and E617 tell of limits. Ruled out: a fixed share for each entry (33 entries with one unused send each exceed the bound at once) and turns by time (entries with few requests miss theirs and refuse).

--- a/src/events.rs
+++ b/src/events.rs
@@ -94,6 +94,8 @@
     PlacementRefused = 615, Info, "request not placed on the engines";
     ControlReachable = 610, Info, "control replica heard";
     ControlUnreachable = 611, Warning, "control replica lost";
+    LimitNamed = 616, Info, "endpoint names a limit";
+    LimitLifted = 617, Info, "endpoint names no limit any more";
     LoadReportMissed = 614, Info, "load report of another entry missed";
     SettingsReloaded = 612, Info, "settings read anew";
     DocumentAccepted = 620, Info, "configuration document accepted";
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -79,12 +79,19 @@
         }
     }
 
-    /// Ready endpoints that were not tried for this request and are not in a connection backoff.
+    /// Ready endpoints that were not tried for this request, are not in a connection backoff and
+    /// have room within the limit that they name.
     fn candidates(&self, now: Moment) -> Vec<Endpoint> {
         let endpoints = self.gateway.endpoints.lock().ready_endpoints(&self.service.name);
+        let entries = self.gateway.in_flight.lock().entry_count();
         let health = self.gateway.health.lock();
-        let is_usable =
-            |e: &&Endpoint| !self.tried.contains(&e.id) && health.is_available(now, &e.id);
+        let mut limits = self.gateway.limits.lock();
+        let mut rng = rand::rng();
+        let is_usable = |e: &&Endpoint| {
+            !self.tried.contains(&e.id)
+                && health.is_available(now, &e.id)
+                && limits.may_send(now, &e.id, entries, &mut rng)
+        };
         endpoints.iter().filter(is_usable).cloned().collect()
     }
 
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -73,6 +73,8 @@
     pub closes_connection: bool,
     /// Whether the body has no content encoding.
     pub unencoded: bool,
+    /// Requests per second that the endpoint takes from all entries together, if it names a limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Wire format of callers, endpoints and configuration documents.
--- a/src/gateway/load_exchange.rs
+++ b/src/gateway/load_exchange.rs
@@ -178,8 +178,12 @@
             let mut in_flight = gateway.in_flight.lock();
             (in_flight.take_changes(now), in_flight.encode_local(now))
         };
-        let template =
-            SharedLoad { node: gateway.cfg.node.to_string(), incarnation, ..SharedLoad::default() };
+        let template = SharedLoad {
+            node: gateway.cfg.node.to_string(),
+            incarnation,
+            limits: gateway.limits.lock().report(now),
+            ..SharedLoad::default()
+        };
         let mut sent_bytes = 0;
         for (addr, load) in peers.build_loads(&template, &changes, &all) {
             let data = load.encode_to_vec();
@@ -240,6 +244,11 @@
         }
         let now = boot_now();
         let (node, seq) = (load.node.clone(), load.seq);
+        let changes =
+            gateway.limits.lock().apply_report(now, &node, load.incarnation, &load.limits);
+        for (id, change) in changes {
+            gateway.log_limit(&id, change, &node);
+        }
         let outcome = gateway.in_flight.lock().apply_report(now, load);
         if outcome != ReportOutcome::Incomplete {
             continue;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod control_updates;
 pub mod dialect;
+pub mod endpoint_limits;
 pub mod engine_model;
 pub mod engine_sample;
 pub mod engine_state;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -127,6 +127,7 @@
         let endpoints = gateway.endpoints.lock();
         gateway.metrics.endpoints.set(endpoints.ready_count() as i64);
         gateway.health.lock().retain(|id| endpoints.is_ready(id));
+        gateway.limits.lock().retain(boot_now(), |id| endpoints.is_ready(id));
     }
 }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -13,6 +13,7 @@
 use super::pool::Connection;
 use super::reason::Reason;
 use super::state::{Endpoint, Gateway};
+use crate::directory::EndpointId;
 
 /// Maximum number of idle connections to try before opening a new one.
 const MAX_IDLE_ATTEMPTS: usize = 3;
@@ -75,7 +76,7 @@
     let mut req = out.build();
     for _ in 0..MAX_IDLE_ATTEMPTS {
         let Some(conn) = gateway.pool.take(endpoint.addr) else { break };
-        match send_on(gateway, conn, req, id, limit).await {
+        match send_on(gateway, &endpoint.id, conn, req, id, limit).await {
             Ok(outcome) => return outcome,
             Err(unsent) => req = unsent,
         }
@@ -84,7 +85,7 @@
         Ok(conn) => conn,
         Err(e) => return SendOutcome::NotSent(Reason::detailed("cannot connect", e)),
     };
-    match send_on(gateway, conn, req, id, limit).await {
+    match send_on(gateway, &endpoint.id, conn, req, id, limit).await {
         Ok(outcome) => outcome,
         Err(_) => SendOutcome::NotSent("a new connection was closed at once".into()),
     }
@@ -93,6 +94,7 @@
 /// Sends on one connection; returns the request if no byte of it was sent.
 async fn send_on(
     gateway: &Arc<Gateway>,
+    endpoint: &EndpointId,
     mut conn: Connection,
     req: Request<Full<Bytes>>,
     id: &str,
@@ -119,6 +121,7 @@
     };
     let (parts, body) = response.into_parts();
     let head = gateway.dialect.decode_response(&parts);
+    gateway.record_limit(endpoint, head.limit_per_s);
     Ok(classify(parts, head, body, conn, id))
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::budget::{BudgetConfig, RetryBudget};
 use super::config::GatewayConfig;
 use super::dialect::Dialect;
+use super::endpoint_limits::{EndpointLimits, LimitChange};
 use super::health::Health;
 use super::in_flight::{InFlightSend, InFlightSends, SendKey};
 use super::moving_average::MovingAverage;
@@ -202,6 +203,8 @@
     pub smoothed_backlog: Mutex<MovingAverage>,
     /// Health of endpoints as this entry sees it.
     pub health: Mutex<Health>,
+    /// Rates that endpoints name for all entries together.
+    pub limits: Mutex<EndpointLimits>,
     /// Retries that this entry may still make.
     pub budget: Mutex<RetryBudget>,
     /// Idle connections to endpoints.
@@ -233,6 +236,7 @@
             in_flight: Mutex::default(),
             smoothed_backlog: Mutex::default(),
             health: Mutex::default(),
+            limits: Mutex::default(),
             budget: Mutex::new(budget),
             pool: Pool::default(),
             load_changed: Notify::new(),
@@ -275,8 +279,31 @@
         }
     }
 
+    /// Records and logs the limit that a response of an endpoint names, or that it names none.
+    pub fn record_limit(&self, id: &EndpointId, per_s: Option<f64>) {
+        let change = self.limits.lock().record_response(boot_now(), id, per_s);
+        if let Some(change) = change {
+            self.log_limit(id, change, self.cfg.node.as_str());
+        }
+    }
+
+    /// Logs a change of a limit that this entry or another one (`from`) learnt of.
+    pub fn log_limit(&self, id: &EndpointId, change: LimitChange, from: &str) {
+        match change {
+            LimitChange::Named(per_s) => event!(self.log, LimitNamed, "endpoint" => id.as_str(),
+                "per_s" => per_s, "from" => from),
+            LimitChange::Lifted => event!(self.log, LimitLifted, "endpoint" => id.as_str(),
+                "from" => from),
+        }
+    }
+
     /// Adds sends in flight; they are removed when the guard is dropped.
     pub fn track_sends(self: &Arc<Self>, sends: Vec<InFlightSend>) -> InFlightGuard {
+        let mut limits = self.limits.lock();
+        for send in sends.iter().filter(|send| !send.is_helper) {
+            limits.record_send(boot_now(), &send.endpoint);
+        }
+        drop(limits);
         let mut in_flight = self.in_flight.lock();
         let keys = sends.into_iter().map(|f| in_flight.insert(f)).collect();
         drop(in_flight);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -38,6 +38,8 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 /// Endpoint that caused an error, if it is another than the one that answers.
 const AT_SERVER: HeaderName = HeaderName::from_static("at-server");
+/// Requests a second that the endpoint takes from all entries together.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Time for which the endpoint keeps an idle connection open.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -123,6 +125,7 @@
             failing_endpoint: header_text(headers, &AT_SERVER).map(SmolStr::new),
             keep_alive: header_text(headers, &KEEP_ALIVE).and_then(parse_keep_alive),
             closes_connection,
+            limit_per_s: header_text(headers, &SERVER_LIMIT).and_then(parse_limit),
             unencoded: !headers.contains_key(header::CONTENT_ENCODING),
         }
     }
@@ -204,6 +207,11 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
+/// Parses a rate; what is no number of zero or more names no limit.
+fn parse_limit(value: &str) -> Option<f64> {
+    value.parse().ok().filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)
+}
+
 /// Names in the `Connection` header, which are hop-by-hop too.
 fn parse_connection(headers: &HeaderMap) -> Vec<String> {
     let Some(value) = header_text(headers, &header::CONNECTION) else { return Vec::new() };
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -992,6 +992,24 @@
     /// node.
     #[prost(bool, tag = "7")]
     pub resend: bool,
+    /// Endpoints that named a rate of requests, or did so shortly before.
+    #[prost(message, repeated, tag = "8")]
+    pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+}
+/// Rate of requests that an endpoint takes from all entries together.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EndpointLimit {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Requests per second; missing once the limit has ended.
+    #[prost(double, optional, tag = "2")]
+    pub per_s: ::core::option::Option<f64>,
+    /// Time since the endpoint said so.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// Requests that the sender of this report has sent to the endpoint since it first knew of a limit.
+    #[prost(uint32, tag = "4")]
+    pub sends: u32,
 }
 /// One request in flight at an endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
