--- /dev/null
+++ b/tests/soak/bites.rs
@@ -0,0 +1,156 @@
+//! Shows that each check finds a history in which its promise is broken, and passes a sound one.
+
+use std::time::{Duration, Instant};
+
+use crate::checks;
+use crate::history::{AckedChange, Disturbance, End, History, Kind, Outcome, Probe, Target};
+use crate::servers::Run;
+
+fn run(request: &str, server: &str, at: Instant) -> Run {
+    Run {
+        request: request.into(),
+        server: server.into(),
+        ran: true,
+        workspace: None,
+        saw_key: false,
+        deadline_ms: None,
+        last_event: None,
+        helpers: None,
+        at,
+    }
+}
+
+fn outcome(kind: Kind, sent_at: Instant, end: End) -> Outcome {
+    let ended_at = sent_at + Duration::from_millis(100);
+    let deadline = Duration::from_secs(3);
+    Outcome { id: "r-1".into(), kind, entry: 0, sent_at, ended_at, deadline, end }
+}
+
+fn answered(status: u16, body: &str) -> End {
+    End::Answered { status, id: Some("r-1".into()), signed: true, body: Some(body.into()) }
+}
+
+fn seconds(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+/// A time from which the histories of these tests count, long after the clock began.
+fn start() -> Instant {
+    Instant::now() + seconds(100)
+}
+
+#[test]
+fn a_booking_that_runs_twice_is_found() {
+    let at = start();
+    let booked = [outcome(Kind::Book, at, answered(200, "answer to r-1"))];
+    let twice = [run("r-1", "order-1", at), run("r-1", "order-2", at)];
+    assert_eq!(checks::check_runs_at_most_once(&booked, &twice).len(), 1);
+    assert!(checks::check_runs_at_most_once(&booked, &twice[..1]).is_empty());
+    let asked = [outcome(Kind::Ask, at, End::Left)];
+    assert!(checks::check_runs_at_most_once(&asked, &twice).is_empty());
+}
+
+#[test]
+fn a_refusal_of_what_ran_is_found() {
+    let at = start();
+    let refused = [outcome(Kind::Book, at, answered(503, "no"))];
+    assert_eq!(checks::check_refusals(&refused, &[run("r-1", "order-1", at)]).len(), 1);
+    assert!(checks::check_refusals(&refused, &[]).is_empty());
+    let failed = [outcome(Kind::Book, at, answered(502, "no"))];
+    assert!(checks::check_refusals(&failed, &[run("r-1", "order-1", at)]).is_empty());
+}
+
+#[test]
+fn answers_that_are_foreign_short_or_wrongly_rejected_are_found() {
+    let at = start();
+    let check = |kind, end| checks::check_answers(&[outcome(kind, at, end)]).len();
+    let whole: String = (1..=crate::servers::EVENTS).map(|n| format!("id: {n}\n\n")).collect();
+    assert_eq!(check(Kind::Ask, answered(200, &whole)), 0);
+    assert_eq!(check(Kind::Ask, answered(200, "id: 1\n\nid: 3\n\n")), 1);
+    assert_eq!(check(Kind::Status, answered(200, "answer to r-2")), 1);
+    assert_eq!(check(Kind::Status, answered(404, "")), 1);
+    let foreign = End::Answered { status: 200, id: None, signed: true, body: None };
+    assert_eq!(check(Kind::Status, foreign), 1);
+}
+
+#[test]
+fn an_answer_long_after_the_deadline_is_found_unless_its_entry_was_disturbed() {
+    let (history, at) = (History::default(), start());
+    let mut late = outcome(Kind::Status, at, End::Lost);
+    late.ended_at = at + seconds(5);
+    assert_eq!(checks::check_final_in_time(&history, &[late.clone()]).len(), 1);
+    let until = Some(at + seconds(2));
+    let frozen = Disturbance { target: Target::Entry(0), from: at, until, restarts: false };
+    history.disturbances.lock().push(frozen);
+    assert!(checks::check_final_in_time(&history, &[late]).is_empty());
+}
+
+#[test]
+fn work_for_callers_that_left_is_found() {
+    let (history, at) = (History::default(), start());
+    let mut left = Vec::new();
+    let (mut prompt, mut late) = (Vec::new(), Vec::new());
+    for n in 0..8 {
+        let id = format!("r-{n}");
+        let outcome = Outcome { id: id.clone(), ..outcome(Kind::Ask, at, End::Left) };
+        prompt.push((id.clone(), outcome.ended_at + Duration::from_millis(100)));
+        late.push((id, outcome.ended_at + Duration::from_millis(900)));
+        left.push(outcome);
+    }
+    assert_eq!(checks::check_leaving(&history, &left, &[], &late).len(), 1);
+    assert!(checks::check_leaving(&history, &left, &[], &prompt).is_empty());
+    let sent_later: Vec<Run> =
+        left.iter().map(|o| run(&o.id, "engine-1", o.ended_at + seconds(1))).collect();
+    assert_eq!(checks::check_leaving(&history, &left, &sent_later, &[]).len(), 1);
+}
+
+#[test]
+fn a_request_at_a_server_that_has_left_is_found() {
+    let (history, at) = (History::default(), start());
+    history.drains.lock().push(("order-1".into(), at));
+    let arrival = |after| [run("r-1", "order-1", at + Duration::from_millis(after))];
+    assert_eq!(checks::check_drains(&history, &arrival(2600)).len(), 1);
+    assert!(checks::check_drains(&history, &arrival(1500)).is_empty());
+}
+
+#[test]
+fn a_change_that_is_not_in_force_or_taken_back_is_found() {
+    let at = start();
+    let check = |probes: &[(u64, u64, u16)]| {
+        let history = History::default();
+        history.acked.lock().push(AckedChange { version: 5, acked_at: at });
+        let probes = probes.iter().map(|(version, after_ms, status)| Probe {
+            entry: 0,
+            version: *version,
+            sent_at: at + Duration::from_millis(*after_ms),
+            status: *status,
+        });
+        history.probes.lock().extend(probes);
+        checks::check_configuration(&history).len()
+    };
+    assert_eq!(check(&[(5, 2500, 404)]), 1);
+    assert_eq!(check(&[(5, 1500, 404), (5, 2500, 200)]), 0);
+    assert_eq!(check(&[(5, 500, 200), (5, 1000, 404)]), 1);
+}
+
+#[test]
+fn a_rate_over_the_named_limit_is_found() {
+    let (history, at) = (History::default(), start());
+    history.limits.lock().push(("engine-1".into(), 1.0, at, at + seconds(10)));
+    let arrivals = |count: u64| -> Vec<Run> {
+        (0..count)
+            .map(|n| run("r-1", "engine-1", at + seconds(4) + Duration::from_millis(n * 100)))
+            .collect()
+    };
+    assert_eq!(checks::check_limits(&history, &arrivals(12)).len(), 1);
+    assert!(checks::check_limits(&history, &arrivals(11)).is_empty());
+}
+
+#[test]
+fn too_many_repeated_sends_are_found() {
+    let at = start();
+    let asked = [outcome(Kind::Ask, at, End::Left)];
+    let runs = vec![run("r-1", "engine-1", at); 103];
+    assert_eq!(checks::check_budget(&asked, &runs).len(), 1);
+    assert!(checks::check_budget(&asked, &runs[..100]).is_empty());
+}
