--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -7,10 +7,10 @@
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::active_request::ActiveRequest;
 use super::admission::mean_backlog_ms;
 use super::config::RetryPolicy;
 use super::engine_state::{EngineState, build_states};
-use super::handler::ActiveRequest;
 use super::in_flight::InFlightSend;
 use super::placement::{self, Decision, PlacementRequest, Plan};
 use super::reservation::Reservation;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Gateway role of an entry: forwards opaque requests with declared token counts to endpoints that
 //! announce themselves.
 
+pub mod active_request;
 pub mod admission;
 pub mod budget;
 pub mod choose;
@@ -15,6 +16,7 @@
 pub mod handler;
 pub mod health;
 pub mod in_flight;
+pub mod intake;
 pub mod load_exchange;
 pub mod moving_average;
 pub mod placement;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,10 +9,10 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::active_request::ActiveRequest;
 use super::choose::Placement;
 use super::config::RetryPolicy;
 use super::events::{EventSplitter, StreamEvent};
-use super::handler::ActiveRequest;
 use super::reservation::Reservation;
 use super::responses::ResponseBody;
 use super::send::{EndpointResponse, SendOutcome, error_chain, send};
