--- a/tests/soak/conductor.rs
+++ b/tests/soak/conductor.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, Process};
 use crate::history::{History, Target};
 use crate::servers::{Records, Server, ServerMode};
 
@@ -115,7 +115,7 @@
         })
     }
 
-    fn process(&mut self, target: Target) -> &mut crate::deployment::Process {
+    fn process(&mut self, target: Target) -> &mut Process {
         match target {
             Target::Entry(at) => &mut self.nodes.entries[at],
             Target::Control(at) => &mut self.nodes.controls[at],
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -105,7 +105,7 @@
     pub drains: Mutex<Vec<(String, Instant)>>,
     /// Servers that named a limit, from when, and until when.
     pub limits: Mutex<Vec<(String, f64, Instant, Instant)>>,
-    /// Times within which a server of a service failed requests on purpose.
+    /// Numbers of faults and planned events by kind.
     pub faults_by_kind: Mutex<BTreeMap<&'static str, usize>>,
 }
 
