Let the fetch of a document end though newer ones follow faster than it takes

Found by reading: a replica sent parts of its newest document only, so each change began all fetches anew; with changes every 150 ms over 312 kB/s no document of 150 kB ever arrived. A part that does not continue the document counts as a failure; failures are logged once a replica and fetch, and the pause after all have failed doubles. changes_in_quick_succession_are_in_force_in_time_over_thin_links failed before and passes.

--- a/src/control/document_fetcher.rs
+++ b/src/control/document_fetcher.rs
@@ -33,8 +33,11 @@
 /// Upper bound of the time limit for a part.
 const MAX_PART_TIMEOUT: Duration = Duration::from_millis(6400);
 
-/// Delay after all replicas have failed to send a part.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay after all replicas have failed to send a part; it doubles each time.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Upper bound of this delay.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Outcome of a fetch: a document that arrived, or a part that did not.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,6 +59,16 @@
     offered: Version,
 }
 
+/// What a part added to the document that is being fetched.
+enum Progress {
+    /// The document is complete.
+    Complete(Document),
+    /// More parts are needed.
+    Grown,
+    /// The part does not continue the document.
+    Unexpected,
+}
+
 /// The document that is being fetched, as far as it has arrived.
 #[derive(Default)]
 struct PartialDocument {
@@ -64,21 +77,36 @@
 }
 
 impl PartialDocument {
-    /// Adds a part, and returns the document once it is complete. A part of another version starts
-    /// anew; one that does not continue the data is ignored.
-    fn add(&mut self, part: DocumentPart) -> Option<Document> {
+    /// Adds a part; one of another version starts anew.
+    fn add(&mut self, part: DocumentPart) -> Progress {
         let DocumentPart { version, offset, data, len, unpacked_len } = part;
         if version != self.version {
             *self = Self { version, data: BytesMut::new() };
         }
-        if offset == self.data.len() as u64 {
-            self.data.extend_from_slice(&data);
+        let is_expected = offset == self.data.len() as u64 && (!data.is_empty() || len == 0);
+        if !is_expected {
+            return Progress::Unexpected;
         }
+        self.data.extend_from_slice(&data);
         if (self.data.len() as u64) < len {
-            return None;
+            return Progress::Grown;
         }
         let body = std::mem::take(&mut self.data).freeze();
-        Some(Document { version, body, unpacked_len })
+        Progress::Complete(Document { version, body, unpacked_len })
+    }
+
+    /// Request for the next part from a replica that offers this version: the document that was
+    /// begun is fetched to its end, since newer ones may follow faster than they can be fetched.
+    fn next_part(&self, offered: Version) -> FetchDocument {
+        match self.data.is_empty() {
+            true => FetchDocument { version: offered, offset: 0 },
+            false => FetchDocument { version: self.version, offset: self.data.len() as u64 },
+        }
+    }
+
+    /// Version that a replica has to offer at least, given that it has to be newer than `floor`.
+    fn min_offer(&self, floor: Version) -> Version {
+        if self.data.is_empty() { floor + 1 } else { self.version }
     }
 }
 
@@ -145,20 +173,21 @@
     /// Fetches a document that is newer than `floor` and passes it to the listener. Returns its
     /// version, or 0 if no replica offers one any more.
     async fn fetch(&self, floor: Version) -> Version {
-        self.await_preferred(floor).await;
+        self.await_preferred(floor + 1).await;
         let started = boot_now();
         let mut partial = PartialDocument::default();
-        let mut failed = HashSet::new();
-        let mut limit = MIN_PART_TIMEOUT;
-        while let Some((addr, link, offered)) = self.pick(floor, &failed) {
-            let fetch = FetchDocument { version: offered, offset: partial.offset_of(offered) };
-            let failure = match link.request(Body::FetchDocument(fetch), limit).await {
+        let (mut failed, mut reported) = (HashSet::new(), HashSet::new());
+        let (mut limit, mut delay) = (MIN_PART_TIMEOUT, MIN_RETRY_DELAY);
+        while let Some((addr, link, offered)) = self.pick(partial.min_offer(floor), &failed) {
+            let request = Body::FetchDocument(partial.next_part(offered));
+            let failure = match link.request(request, limit).await {
                 Ok(Body::DocumentPart(part)) => match partial.add(part) {
-                    Some(document) => {
+                    Progress::Complete(document) => {
                         self.report(addr, offered, document.body.len(), started, None);
                         return self.deliver(addr, document);
                     }
-                    None => continue,
+                    Progress::Grown => continue,
+                    Progress::Unexpected => "a part that does not continue the document".to_owned(),
                 },
                 Ok(_) => "not a part of a document".to_owned(),
                 Err(e) => {
@@ -168,11 +197,17 @@
                     e.to_string()
                 }
             };
-            self.report(addr, offered, partial.data.len(), started, Some(failure));
+            if reported.insert(addr) {
+                self.report(addr, offered, partial.data.len(), started, Some(failure));
+            }
             failed.insert(addr);
-            if self.pick(floor, &failed).is_none() {
+            if self.pick(partial.min_offer(floor), &failed).is_none() {
                 failed.clear();
-                sleep(RETRY_DELAY).await;
+                if self.pick(partial.min_offer(floor), &failed).is_none() {
+                    partial = PartialDocument::default();
+                }
+                sleep(delay).await;
+                delay = (delay * 2).min(MAX_RETRY_DELAY);
             }
         }
         0
@@ -198,14 +233,14 @@
     }
 
     /// Waits until it is the turn of the first replica, in this process's own order, that offers a
-    /// document newer than `floor`.
+    /// document of version `min` or newer.
     ///
     /// A new leader offers the document first, and to all processes at the same time. Its link would
     /// be full of the document while those of the other replicas are idle.
-    async fn await_preferred(&self, floor: Version) {
+    async fn await_preferred(&self, min: Version) {
         let started = boot_now();
         loop {
-            let Some(position) = self.position_of_first_offer(floor) else { return };
+            let Some(position) = self.position_of_first_offer(min) else { return };
             let turn = OFFER_TURN * position as u32;
             let remaining = turn.saturating_sub(boot_now().saturating_sub(started));
             if remaining.is_zero() || timeout(remaining, self.offered.notified()).await.is_err() {
@@ -214,35 +249,28 @@
         }
     }
 
-    fn position_of_first_offer(&self, floor: Version) -> Option<usize> {
+    fn position_of_first_offer(&self, min: Version) -> Option<usize> {
         let sources = self.sources.lock();
         let order = preference_order(self.order_seed, sources.keys());
-        order.iter().position(|addr| sources.get(addr).is_some_and(|s| s.offered > floor))
+        order.iter().position(|addr| sources.get(addr).is_some_and(|s| s.offered >= min))
     }
 
-    /// First replica in this process's own order that offers a document newer than `floor` and is
-    /// not among `failed`, with the version that it offers.
+    /// First replica in this process's own order that offers version `min` or a newer one and is not
+    /// among `failed`, with the version that it offers.
     fn pick(
         &self,
-        floor: Version,
+        min: Version,
         failed: &HashSet<SocketAddr>,
     ) -> Option<(SocketAddr, Link, Version)> {
         let sources = self.sources.lock();
         let order = preference_order(self.order_seed, sources.keys());
         order.into_iter().filter(|addr| !failed.contains(addr)).find_map(|addr| {
-            let source = sources.get(&addr).filter(|s| s.offered > floor)?;
+            let source = sources.get(&addr).filter(|s| s.offered >= min)?;
             Some((addr, source.link.clone(), source.offered))
         })
     }
 }
 
-impl PartialDocument {
-    /// Offset of the next part that is needed of a version.
-    fn offset_of(&self, version: Version) -> u64 {
-        if version == self.version { self.data.len() as u64 } else { 0 }
-    }
-}
-
 /// Orders replicas in a way that depends on the process.
 ///
 /// ```
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -13,6 +13,7 @@
 
 use super::bootstrap::BootstrapService;
 use super::core_config::Published;
+use super::recent_documents::RecentDocuments;
 use crate::clock::boot_now;
 use crate::directory::Directory;
 use crate::document::UnpackError;
@@ -79,6 +80,7 @@
 struct Inner {
     directory: Directory,
     subscribers: BTreeMap<u64, Subscriber>,
+    recent: RecentDocuments,
 }
 
 /// Endpoint directory and subscribers of one control replica.
@@ -203,13 +205,15 @@
     /// Answers a subscriber that fetches the document.
     fn send_document(&self, conn: &Conn, call: u64, fetch: FetchDocument) {
         let published = self.published.borrow().clone();
+        let recent = self.inner.lock().recent.find(fetch.version).cloned();
+        let document = recent.unwrap_or(published.document);
         let conn = conn.clone();
         tokio::spawn(async move {
             if !published.has_leader {
                 conn.refuse(call, "this replica knows no leader").await;
                 return;
             }
-            match build_reply(&published.document, fetch) {
+            match build_reply(&document, fetch) {
                 Ok(reply) => conn.send(call, reply).await,
                 Err(e) => conn.refuse(call, e.to_string()).await,
             };
@@ -256,6 +260,7 @@
     /// Sends the membership to all subscribers, and the document to those that hold an older one.
     fn publish_state(&self, state: &Published) {
         let mut inner = self.inner.lock();
+        inner.recent.add(&state.document);
         for subscriber in inner.subscribers.values_mut() {
             let replicas = state.replicas.clone();
             let update = News { replicas, ..subscriber.document_update(state) };
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,6 +17,7 @@
 pub mod orders;
 pub mod peers;
 pub mod placement;
+pub mod recent_documents;
 pub mod relay;
 pub mod reports;
 pub mod run;
--- a/tests/thin_links.rs
+++ b/tests/thin_links.rs
@@ -202,7 +202,11 @@
 
 /// Document of 1 MB that no compression makes smaller.
 fn random_document(version: u64) -> Document {
-    let mut body = vec![0; 1_000_000];
+    random_document_of(version, 1_000_000)
+}
+
+fn random_document_of(version: u64, len: usize) -> Document {
+    let mut body = vec![0; len];
     ChaCha8Rng::seed_from_u64(version).fill_bytes(&mut body);
     Document::pack(version, Bytes::from(body))
 }
@@ -255,6 +259,28 @@
     cx.cancel();
 }
 
+/// Changes follow each other faster than the link carries a document.
+#[tokio::test]
+async fn changes_in_quick_succession_are_in_force_in_time_over_thin_links() {
+    let replica = ThinReplica::start(THIN_LINK / 2.0).await;
+    let listener = subscribe_to(std::slice::from_ref(&replica)).await;
+    let started = Instant::now();
+    let mut published = Vec::new();
+    for version in 1..=40 {
+        replica.publish(random_document_of(version, 150_000));
+        published.push(Instant::now());
+        sleep(Duration::from_millis(150)).await;
+        let held = listener.held_version() as usize;
+        let overdue = published.iter().skip(held).find(|at| at.elapsed() > APPLY_LIMIT);
+        assert!(
+            overdue.is_none(),
+            "version {held} is held {:?} after the start",
+            started.elapsed()
+        );
+    }
+    assert!(wait_for(&listener, 40, APPLY_LIMIT).await.is_some());
+}
+
 #[tokio::test]
 async fn a_document_that_many_replicas_offer_over_thin_links_is_sent_once() {
     let mut replicas = Vec::new();
