--- a/src/control/document_fetcher.rs
+++ b/src/control/document_fetcher.rs
@@ -26,11 +26,11 @@
 /// document too.
 const OFFER_TURN: Duration = Duration::from_millis(10);
 
-/// First time limit for a part; it doubles with each part that does not arrive, so that a slow link
+/// First timeout of a part; it doubles with each part that does not arrive, so that a slow link
 /// delays a document but never keeps it away.
 const MIN_PART_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Upper bound of the time limit for a part.
+/// Upper bound of the timeout of a part.
 const MAX_PART_TIMEOUT: Duration = Duration::from_millis(6400);
 
 /// Delay after all replicas have failed to send a part; it doubles each time.
@@ -42,8 +42,8 @@
 /// Outcome of a fetch: a document that arrived, or a part that did not.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DocumentFetch {
-    /// Version that was offered.
-    pub offered: Version,
+    /// Version that arrived, or was asked for.
+    pub version: Version,
     /// Bytes of the packed document that have arrived so far.
     pub bytes: usize,
     /// Time since the document was first asked for.
@@ -183,7 +183,8 @@
             let failure = match link.request(request, limit).await {
                 Ok(Body::DocumentPart(part)) => match partial.add(part) {
                     Progress::Complete(document) => {
-                        self.report(addr, offered, document.body.len(), started, None);
+                        let (version, bytes) = (document.version, document.body.len());
+                        self.report(addr, version, bytes, started, None);
                         return self.deliver(addr, document);
                     }
                     Progress::Grown => continue,
@@ -222,13 +223,13 @@
     fn report(
         &self,
         addr: SocketAddr,
-        offered: Version,
+        version: Version,
         bytes: usize,
         started: Moment,
         failure: Option<String>,
     ) {
         let elapsed = boot_now().saturating_sub(started);
-        let fetch = DocumentFetch { offered, bytes, elapsed, failure };
+        let fetch = DocumentFetch { version, bytes, elapsed, failure };
         self.listener.on_fetched(addr, &fetch);
     }
 
--- a/src/gateway/control_updates.rs
+++ b/src/gateway/control_updates.rs
@@ -39,9 +39,9 @@
         let (control, ms) = (control.to_string(), fetch.elapsed.as_millis() as u64);
         match &fetch.failure {
             None => event!(self.gateway.log, DocumentFetched, "control" => control,
-                "version" => fetch.offered, "bytes" => fetch.bytes, "ms" => ms),
+                "version" => fetch.version, "bytes" => fetch.bytes, "ms" => ms),
             Some(reason) => event!(self.gateway.log, DocumentFetchFailed, "control" => control,
-                "version" => fetch.offered, "bytes" => fetch.bytes, "ms" => ms,
+                "version" => fetch.version, "bytes" => fetch.bytes, "ms" => ms,
                 "reason" => reason.as_str()),
         }
     }
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -7,6 +7,7 @@
 mod election;
 mod log;
 mod membership;
+mod progress;
 mod replication;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 
 pub use self::log::RaftLog;
+use self::progress::Progress;
 use crate::ids::{Index, Moment, ReplicaId, Term};
 use crate::wire::{AppendReply, Command, Entry, HardState, Noop, Peer, Replica, command, peer};
 
@@ -113,60 +115,6 @@
     Leader,
 }
 
-/// Entries or a snapshot chunk on their way to a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct InFlight {
-    /// Heartbeat round in which they were sent. Messages arrive in order, so the answer to a later
-    /// round shows that they were lost.
-    round: u64,
-    /// Index of the last entry, or offset in bytes after the snapshot chunk.
-    end: u64,
-    /// Size of the entries or of the chunk.
-    bytes: usize,
-}
-
-/// What an answer says about entries or a snapshot chunk on their way.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Delivery {
-    /// They may still arrive.
-    Pending,
-    /// They arrived.
-    Arrived,
-    /// They were lost.
-    Lost,
-}
-
-impl InFlight {
-    /// Evaluates an answer of this round, which acknowledges everything up to `position`.
-    fn evaluate(self, round: u64, position: u64) -> Delivery {
-        if position >= self.end {
-            Delivery::Arrived
-        } else if round > self.round {
-            Delivery::Lost
-        } else {
-            Delivery::Pending
-        }
-    }
-}
-
-/// Replication progress of another replica, as its leader knows it.
-#[derive(Clone, Debug, Default)]
-struct Progress {
-    /// Index of the next entry to send.
-    next_index: Index,
-    /// Highest index that the replica is known to hold.
-    match_index: Index,
-    /// Entries or the snapshot chunk that were sent and not answered yet.
-    in_flight: Option<InFlight>,
-    /// Highest index that the replica was told to be committed.
-    told_commit: Index,
-    /// Newest heartbeat round that the replica has acknowledged.
-    acked_round: u64,
-    /// Offset in bytes of the next snapshot chunk to send.
-    snapshot_offset: u64,
-    last_reply_at: Moment,
-}
-
 /// Protocol state of one replica.
 pub struct Raft {
     id: ReplicaId,
--- a/src/raft/replication.rs
+++ b/src/raft/replication.rs
@@ -2,7 +2,8 @@
 
 use prost::Message;
 
-use super::{Delivery, Effect, InFlight, Progress, Raft, Role};
+use super::progress::{Delivery, InFlight, Progress};
+use super::{Effect, Raft, Role};
 use crate::ids::{Index, Moment, ReplicaId};
 use crate::wire::{Append, AppendReply, Entry, Install, InstallReply, peer};
 
