--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -127,8 +127,8 @@
         self.disturbances.lock()[index].until = Some(Instant::now());
     }
 
-    /// Whether no control replica, nor the entry if one is given, was disturbed from a contact time
-    /// before `from` until `to`.
+    /// Whether no control replica and not this entry, or with `None` no entry at all, was disturbed
+    /// from a contact time before `from` until `to`.
     pub fn was_calm(&self, entry: Option<usize>, from: Instant, to: Instant) -> bool {
         self.disturbances.lock().iter().all(|d| {
             let concerns = match d.target {
