--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -365,6 +365,15 @@
     req
 }
 
+/// Completion request whose prompt has these shared parts, and a last one of its own.
+pub fn ask_with_parts(path: &str, prompt: u64, parts: &[&str]) -> Request<Full<Bytes>> {
+    let mut req = ask(path, prompt);
+    let shared: String = parts.iter().map(|part| format!("{part}:40,")).collect();
+    let own = format!("{}{}:{prompt}", shared, id_of(&req));
+    req.headers_mut().insert("prefix-hash", own.parse().unwrap());
+    req
+}
+
 /// Request with a valid API key. Its workspace header is wrong and must be ignored.
 pub fn plain(method: &str, path: &str) -> Request<Full<Bytes>> {
     Request::builder()
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod deployment;
 mod limits;
+mod poison;
 mod requests;
 mod servers;
 mod system;
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -18,8 +18,8 @@
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::deployment::call;
 
@@ -59,6 +59,8 @@
     pub deadline_ms: Option<u64>,
     pub last_event: Option<u64>,
     pub helpers: Option<String>,
+    /// Ids of the prompt's parts, in order.
+    pub parts: Vec<String>,
     pub at: Instant,
 }
 
@@ -72,6 +74,12 @@
     pub limits: Arc<Mutex<HashMap<String, f64>>>,
     /// Ids of reservations, their tokens, and when they expire.
     pub reservations: Arc<Mutex<Vec<(String, u64, Instant)>>>,
+    /// Prompt part that crashes the servers that begin to answer a request with it.
+    pub crashing_part: Arc<Mutex<Option<String>>>,
+    /// Servers that crashed, and when.
+    pub crashes: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Crashes the running server of each address, by the id without the number of its start.
+    crash_signals: Arc<Mutex<HashMap<String, Arc<Notify>>>>,
 }
 
 impl Records {
@@ -90,6 +98,25 @@
         times.iter().map(count_from).max().unwrap_or(0)
     }
 
+    /// Requests that arrived at servers with a part, after a time.
+    pub fn arrivals_with_part(&self, part: &str, after: Instant) -> usize {
+        let runs = self.runs.lock();
+        let has_part = |r: &&Run| r.at > after && r.parts.iter().any(|p| p == part);
+        runs.iter().filter(has_part).count()
+    }
+
+    /// Crashes a server that is kept running; `id` is without the number of its start.
+    pub fn crash_now(&self, id: &str) {
+        if let Some(signal) = self.crash_signals.lock().get(id) {
+            signal.notify_one();
+        }
+    }
+
+    /// When the `n`th server crashed, counted from 1.
+    pub fn crash_time(&self, n: usize) -> Option<Instant> {
+        self.crashes.lock().get(n - 1).map(|(_, at)| *at)
+    }
+
     pub fn times_run(&self, request: &str) -> usize {
         self.of(request).iter().filter(|r| r.ran).count()
     }
@@ -104,6 +131,8 @@
     started_ms: u64,
     tasks: Vec<JoinHandle<()>>,
     seq: Arc<Mutex<u64>>,
+    /// Signalled when a request crashes the server.
+    crashed: Arc<Notify>,
 }
 
 impl Server {
@@ -119,17 +148,29 @@
         let state = Arc::new(Mutex::new((ServerMode::Normal, "ready")));
         let started_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let seq = Arc::new(Mutex::new(0));
+        let crashed = Arc::new(Notify::new());
         let mut server =
-            Self { id: id.into(), addr, service, state, started_ms, tasks: vec![], seq };
+            Self { id: id.into(), addr, service, state, started_ms, tasks: vec![], seq, crashed };
         let (name, state, records) = (server.id.clone(), server.state.clone(), records.clone());
+        let crashed = server.crashed.clone();
         server.tasks.push(tokio::spawn(async move {
+            let mut connections = JoinSet::new();
             loop {
                 let Ok((stream, _)) = listener.accept().await else { return };
+                while connections.try_join_next().is_some() {}
                 let (name, state, records) = (name.clone(), state.clone(), records.clone());
-                tokio::spawn(async move {
+                let crashed = crashed.clone();
+                connections.spawn(async move {
                     let service = service_fn(move |req| {
                         let mode = state.lock().0;
-                        respond(name.clone(), mode, records.clone(), req)
+                        let (crashed, records) = (crashed.clone(), records.clone());
+                        let name = name.clone();
+                        async move {
+                            if crashes_server(&records, &name, &req) {
+                                return respond_and_crash(name, records, req, crashed).await;
+                            }
+                            respond(name, mode, records, req).await
+                        }
                     });
                     let _ =
                         http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -181,10 +222,37 @@
         }
     }
 
-    /// Stops the server without an announcement.
+    /// Waits until a request crashes the server.
+    pub async fn crashed(&self) {
+        self.crashed.notified().await;
+    }
+
+    /// Stops the server without an announcement and closes its connections.
     pub fn crash(self) {}
 }
 
+/// Keeps a server running: starts it again, with a new id, `down` after each crash.
+pub fn keep_running(
+    id: String,
+    service: &'static str,
+    addr: SocketAddr,
+    control: Vec<SocketAddr>,
+    records: Records,
+    down: Duration,
+) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        for start in 0.. {
+            let run = format!("{id}-{start}");
+            let server = Server::start(&run, service, addr, control.clone(), &records).await;
+            records.crash_signals.lock().insert(id.clone(), server.crashed.clone());
+            server.crashed().await;
+            records.crashes.lock().push((run, Instant::now()));
+            server.crash();
+            tokio::time::sleep(down).await;
+        }
+    })
+}
+
 impl Drop for Server {
     fn drop(&mut self) {
         self.tasks.iter().for_each(JoinHandle::abort);
@@ -219,6 +287,62 @@
 
 type Body = BoxBody<Bytes, std::io::Error>;
 
+/// Time from the arrival of a request that crashes its server to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(60);
+
+fn header<'a>(req: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    req.headers().get(name).and_then(|v| v.to_str().ok())
+}
+
+/// Ids of the parts of a request's prompt, in order.
+fn prompt_parts(req: &Request<Incoming>) -> Vec<String> {
+    let entries = header(req, "prefix-hash").unwrap_or_default().split(',');
+    entries.filter_map(|e| Some(e.trim().split_once(':')?.0.to_owned())).collect()
+}
+
+/// Whether a request crashes the server that begins to answer it.
+fn crashes_server(records: &Records, server: &str, req: &Request<Incoming>) -> bool {
+    let is_meant = header(req, "expect-instance") == Some(server);
+    let part = records.crashing_part.lock().clone();
+    is_meant && part.is_some_and(|part| prompt_parts(req).contains(&part))
+}
+
+/// Crashes the server soon; about half of the requests get the head of a response before.
+async fn respond_and_crash(
+    server: String,
+    records: Records,
+    req: Request<Incoming>,
+    crashed: Arc<Notify>,
+) -> Result<Response<Body>, Infallible> {
+    let id = header(&req, "attempt-id").unwrap_or_default().to_owned();
+    records.runs.lock().push(Run {
+        request: id.clone(),
+        server: server.clone(),
+        ran: true,
+        workspace: None,
+        saw_key: false,
+        deadline_ms: None,
+        last_event: None,
+        helpers: None,
+        parts: prompt_parts(&req),
+        at: Instant::now(),
+    });
+    if id.bytes().last().is_some_and(|b| b % 2 == 0) {
+        tokio::time::sleep(CRASH_DELAY).await;
+        crashed.notify_one();
+        std::future::pending::<()>().await;
+    }
+    tokio::spawn(async move {
+        tokio::time::sleep(CRASH_DELAY).await;
+        crashed.notify_one();
+    });
+    let head = Response::builder()
+        .header("attempt-id", id)
+        .header("server-signature", format!("signed-by-{server}"))
+        .header("content-type", "text/event-stream");
+    Ok(head.body(BodyExt::boxed(StreamBody::new(futures::stream::pending()))).unwrap())
+}
+
 async fn respond(
     server: String,
     mode: ServerMode,
@@ -243,6 +367,7 @@
         deadline_ms: text("deadline-ms").and_then(|v| v.parse().ok()),
         last_event,
         helpers: text("helpers"),
+        parts: prompt_parts(&req),
         at: Instant::now(),
     });
     let limit = records.limits.lock().get(&server).copied();
--- a/tests/soak/bites.rs
+++ b/tests/soak/bites.rs
@@ -16,6 +16,7 @@
         deadline_ms: None,
         last_event: None,
         helpers: None,
+        parts: Vec::new(),
         at,
     }
 }
