Log crashes of endpoints with the requests and prompt parts at them

A broken answer could not be told from a crash, and no log named the parts of a prompt. An entry now connects to an endpoint after a connection was lost; a refusal is logged as E618 with the requests. No decision depends on it yet.

--- a/src/events.rs
+++ b/src/events.rs
@@ -98,6 +98,7 @@
     LimitLifted = 617, Info, "endpoint names no limit any more";
     LoadReportMissed = 614, Info, "load report of another entry missed";
     SettingsReloaded = 612, Info, "settings read anew";
+    EndpointCrashed = 618, Warning, "endpoint crashed under requests";
     DocumentAccepted = 620, Info, "configuration document accepted";
     DocumentRefused = 621, Warning, "configuration document refused";
     AnnouncementRefused = 622, Warning, "announcement refused";
--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -11,6 +11,7 @@
 
 use super::choose::Placement;
 use super::config::{GatewayConfig, RetryPolicy, Route, Service};
+use super::crash_watch::{self, Suspect};
 use super::dialect::{CallerHead, SendOptions};
 use super::reason::Reason;
 use super::responses::{
@@ -153,12 +154,25 @@
                 self.sends += 1;
                 health.record_failure(now, &endpoint.id);
             }
-            SendOutcome::Unknown(_) => {
+            SendOutcome::Unknown(_) | SendOutcome::Lost(_) => {
                 self.sends += 1;
                 self.may_have_run = true;
                 health.record_failure(now, &endpoint.id);
             }
         }
+        drop(health);
+        if matches!(outcome, SendOutcome::Lost(_)) {
+            self.suspect_crash(endpoint);
+        }
+    }
+
+    /// Checks whether the endpoint crashed, with this request among the suspects.
+    pub(super) fn suspect_crash(&self, endpoint: &Endpoint) {
+        let suspect = Suspect {
+            request: self.caller.id.clone(),
+            prompt_parts: self.caller.prompt_parts.join(","),
+        };
+        crash_watch::check_endpoint(&self.gateway, endpoint, suspect);
     }
 
     /// Whether another send is allowed by the route's attempts, by idempotency and by the shared
@@ -186,6 +200,7 @@
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => {
                 self.gateway.health.lock().record_failure(boot_now(), &endpoint.id);
+                self.suspect_crash(endpoint);
                 return Err(Reason::detailed("the answer broke off", error_chain(&e)));
             }
             Err(_) => return Err("the answer did not end in time".into()),
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -37,6 +37,8 @@
     pub tokens: Option<DeclaredTokens>,
     /// The caller's estimate of the output length in tokens.
     pub expected_output: Option<u64>,
+    /// Ids of the parts of the prompt in order; prompts may share all but the last.
+    pub prompt_parts: Vec<SmolStr>,
 }
 
 /// Headers that the gateway adds to a request to an endpoint.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -103,7 +103,9 @@
                 }
                 return failed.unwrap_or_else(|| req.fail(reason));
             }
-            SendOutcome::NotRun(reason) | SendOutcome::Unknown(reason) => reason,
+            SendOutcome::NotRun(reason)
+            | SendOutcome::Unknown(reason)
+            | SendOutcome::Lost(reason) => reason,
         };
         if !req.claim_retry() {
             return failed.unwrap_or_else(|| req.fail(reason));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod choose;
 pub mod config;
 pub mod control_updates;
+pub mod crash_watch;
 pub mod dialect;
 pub mod endpoint_limits;
 pub mod engine_model;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -274,8 +274,14 @@
                 continue;
             }
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Ok(Some(Err(e))) => return SegmentEnd::Broken(error_chain(&e)),
-            Ok(None) if splitter.in_event() => return SegmentEnd::Broken("partial event".into()),
+            Ok(Some(Err(e))) => {
+                req.suspect_crash(&endpoint);
+                return SegmentEnd::Broken(error_chain(&e));
+            }
+            Ok(None) if splitter.in_event() => {
+                req.suspect_crash(&endpoint);
+                return SegmentEnd::Broken("partial event".into());
+            }
             Ok(None) => break,
         };
         splitter.push(&data);
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -63,6 +63,8 @@
     NotRun(Reason),
     /// The request may have run; the reason tells why its outcome is unknown.
     Unknown(Reason),
+    /// The connection was lost before a response; the request may have run.
+    Lost(Reason),
 }
 
 /// Sends a request and waits at most `limit` for the head of the response.
@@ -113,10 +115,8 @@
             if let Some(req) = e.take_message() {
                 return Err(req);
             }
-            return Ok(SendOutcome::Unknown(Reason::detailed(
-                "connection lost",
-                error_chain(&e.into_error()),
-            )));
+            let reason = Reason::detailed("connection lost", error_chain(&e.into_error()));
+            return Ok(SendOutcome::Lost(reason));
         }
     };
     let (parts, body) = response.into_parts();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 
 use super::budget::{BudgetConfig, RetryBudget};
 use super::config::GatewayConfig;
+use super::crash_watch::CheckedEndpoints;
 use super::dialect::Dialect;
 use super::endpoint_limits::{EndpointLimits, LimitChange};
 use super::health::Health;
@@ -205,6 +206,8 @@
     pub health: Mutex<Health>,
     /// Rates that endpoints name for all entries together.
     pub limits: Mutex<EndpointLimits>,
+    /// Endpoints that are being checked for a crash, with the suspects.
+    pub checked_endpoints: Mutex<CheckedEndpoints>,
     /// Retries that this entry may still make.
     pub budget: Mutex<RetryBudget>,
     /// Idle connections to endpoints.
@@ -237,6 +240,7 @@
             smoothed_backlog: Mutex::default(),
             health: Mutex::default(),
             limits: Mutex::default(),
+            checked_endpoints: Mutex::default(),
             budget: Mutex::new(budget),
             pool: Pool::default(),
             load_changed: Notify::new(),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -24,6 +24,8 @@
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// Prompt tokens and the maximum of output tokens, separated by a comma.
 const TOKEN_USAGE: HeaderName = HeaderName::from_static("token-usage");
+/// Parts of the prompt in order: a list of `ID:TOKENS`.
+const PREFIX_HASH: HeaderName = HeaderName::from_static("prefix-hash");
 /// Caller's estimate of the output tokens.
 const LENGTH_HINT: HeaderName = HeaderName::from_static("length-hint");
 /// Id of the endpoint that is meant; another one that has taken over the address refuses.
@@ -82,6 +84,9 @@
             last_event: header_number(&head.headers, &LAST_EVENT_ID),
             tokens: header_text(&head.headers, &TOKEN_USAGE).and_then(parse_token_usage),
             expected_output: header_number(&head.headers, &LENGTH_HINT),
+            prompt_parts: header_text(&head.headers, &PREFIX_HASH)
+                .map(parse_prompt_parts)
+                .unwrap_or_default(),
         }
     }
 
@@ -202,6 +207,11 @@
     })
 }
 
+fn parse_prompt_parts(value: &str) -> Vec<SmolStr> {
+    let parts = value.split(',').map(|part| part.split(':').next().unwrap_or_default().trim());
+    parts.filter(|id| !id.is_empty()).map(SmolStr::new).collect()
+}
+
 fn parse_keep_alive(value: &str) -> Option<Duration> {
     let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
