Keep prompt parts that crash servers away from servers, over all entries and restarts

Callers saw model servers end one after the other, with all streams on them: nothing remembered under which part servers had ended, so each new request with it was placed as if it were the first.

Entries record crashes with the parts of the requests that had just begun there, and the parts that were answered without a crash. Control passes what each entry records to all others and keeps it in a file. Each entry judges by the same evidence: a part that was never answered and explains three crashes at different moments is refused, at once and for ten minutes; an answer lifts that, a crash afterwards renews it. Parts that were answered, and crashes that come together, blame nobody.

--- a/src/control/endpoint_file.rs
+++ b/src/control/endpoint_file.rs
@@ -10,22 +10,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use prost::Message;
 use slog::Logger;
-use tokio::task::spawn_blocking;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use super::hint_file::HintFile;
 use super::hub::Hub;
-use super::store::{Magic, frame_checked, read_checked, replace_file};
 use crate::event;
 use crate::wire::{Announcement, KnownEndpoints};
 
-/// Name of the file within the data directory.
-const FILE_NAME: &str = "endpoints";
-
-/// First bytes of the file.
-const FILE_MAGIC: &Magic = b"BLENDP01";
+const FILE: HintFile = HintFile { name: "endpoints", magic: b"BLENDP01" };
 
 /// Delay in which further changes are combined into one write.
 const SAVE_DELAY: Duration = Duration::from_millis(200);
@@ -36,22 +30,14 @@
 /// Reads the endpoints that the last run of this replica knew; none if the file is missing or
 /// unusable.
 pub fn load(data_dir: &Path, log: &Logger) -> Vec<Announcement> {
-    let path = data_dir.join(FILE_NAME);
-    let content = match read_checked(FILE_MAGIC, &path) {
-        Ok(Some(content)) => content,
-        Ok(None) => return Vec::new(),
-        Err(e) => {
-            event!(log, EndpointFileUnusable, "reason" => e.to_string());
-            return Vec::new();
-        }
-    };
-    match KnownEndpoints::decode(content) {
-        Ok(known) => {
+    match FILE.load::<KnownEndpoints>(data_dir) {
+        Ok(None) => Vec::new(),
+        Ok(Some(known)) => {
             event!(log, EndpointsRestored, "endpoints" => known.announcements.len());
             known.announcements
         }
-        Err(e) => {
-            event!(log, EndpointFileUnusable, "reason" => e.to_string());
+        Err(reason) => {
+            event!(log, EndpointFileUnusable, "reason" => reason);
             Vec::new()
         }
     }
@@ -66,16 +52,13 @@
             () = hub.endpoints_changed() => {}
         }
         sleep(SAVE_DELAY).await;
-        while let Err(e) = save(&data_dir, hub.announcements()).await {
+        while let Err(e) = FILE.save(&data_dir, &known_endpoints(&hub)).await {
             event!(log, EndpointFileUnusable, "reason" => e.to_string());
             sleep(SAVE_RETRY_DELAY).await;
         }
     }
 }
 
-async fn save(data_dir: &Path, announcements: Vec<Announcement>) -> std::io::Result<()> {
-    let content = KnownEndpoints { announcements }.encode_to_vec();
-    let data_dir = data_dir.to_owned();
-    let write = move || replace_file(&data_dir, FILE_NAME, &frame_checked(FILE_MAGIC, &content));
-    spawn_blocking(write).await.map_err(std::io::Error::other)?
+fn known_endpoints(hub: &Hub) -> KnownEndpoints {
+    KnownEndpoints { announcements: hub.announcements() }
 }
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -18,9 +18,13 @@
 use crate::directory::Directory;
 use crate::document::UnpackError;
 use crate::event;
+use crate::quarantine::Quarantine;
 use crate::wire::envelope::Body;
 use crate::wire::server::{Conn, Handler};
-use crate::wire::{Announcement, Document, DocumentPart, FetchDocument, News, Standing, Subscribe};
+use crate::wire::{
+    Announcement, Document, DocumentPart, FetchDocument, News, QuarantineReport, Standing,
+    Subscribe,
+};
 
 /// Interval between two checks for endpoints that have become silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -79,6 +83,7 @@
 #[derive(Default)]
 struct Inner {
     directory: Directory,
+    quarantine: Quarantine,
     subscribers: BTreeMap<u64, Subscriber>,
     recent: RecentDocuments,
 }
@@ -89,6 +94,7 @@
     published: watch::Receiver<Published>,
     relay: mpsc::UnboundedSender<Announcement>,
     endpoints_changed: Notify,
+    quarantine_changed: Notify,
     load_addresses_changed: Notify,
     log: Logger,
 }
@@ -112,6 +118,7 @@
             published,
             relay,
             endpoints_changed: Notify::new(),
+            quarantine_changed: Notify::new(),
             load_addresses_changed: Notify::new(),
             log,
         }
@@ -127,6 +134,28 @@
         self.endpoints_changed.notified().await;
     }
 
+    /// All that was reported of poison requests.
+    pub fn quarantine_report(&self) -> QuarantineReport {
+        self.inner.lock().quarantine.report_all(boot_now())
+    }
+
+    /// Waits until something new was reported of poison requests.
+    pub async fn quarantine_changed(&self) {
+        self.quarantine_changed.notified().await;
+    }
+
+    /// Applies a report of poison requests and sends what is new to all subscribers.
+    pub fn apply_quarantine_report(&self, report: QuarantineReport) {
+        let mut inner = self.inner.lock();
+        if inner.quarantine.apply_report(boot_now(), &report).is_none() {
+            return;
+        }
+        self.quarantine_changed.notify_one();
+        for subscriber in inner.subscribers.values() {
+            subscriber.send(News { quarantine: Some(report.clone()), ..News::default() });
+        }
+    }
+
     /// Applies an announcement that an endpoint sent to this replica and relays it.
     pub fn announce(&self, announcement: Announcement) {
         let _ = self.relay.send(announcement.clone());
@@ -192,6 +221,7 @@
         let initial = News {
             announcements: inner.directory.announcements(),
             full: true,
+            quarantine: Some(inner.quarantine.report_all(boot_now())),
             replicas: published.replicas.clone(),
             ..subscriber.document_update(&published)
         };
@@ -252,6 +282,7 @@
                     if !silent.is_empty() {
                         self.publish(silent);
                     }
+                    self.inner.lock().quarantine.expire(boot_now());
                 }
             }
         }
@@ -326,6 +357,7 @@
         match body {
             Body::Subscribe(subscribe) => self.hub.subscribe(conn, call, subscribe),
             Body::FetchDocument(fetch) => self.hub.send_document(conn, call, fetch),
+            Body::QuarantineReport(report) => self.hub.apply_quarantine_report(report),
             Body::Announcement(announcement) => self.hub.apply_announcement(announcement),
             Body::RollCall(report) => self.bootstrap.handle_report(conn, call, report),
             other => self.fallback.on_message(conn, call, other),
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -225,6 +225,8 @@
             Body::Subscribe(_) => self.send_replicas(conn, call),
             Body::RollCall(report) => self.relay.bootstrap.handle_report(conn, call, report),
             Body::News(update) => self.subscribe_to_replicas(&update),
+            // The sender reports to the replicas too.
+            Body::QuarantineReport(_) => {}
             Body::Join(Join { replica: Some(replica), .. }) => self.join(conn, call, replica),
             _ => {
                 let conn = conn.clone();
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -20,6 +20,7 @@
 use super::hub::{Hub, HubHandler};
 use super::joining::{maintain_membership, update_seeds};
 use super::peers::PeerSender;
+use super::quarantine_file;
 use super::server;
 use super::state::ControlState;
 use super::store::{OpenedStore, Store, StoreError};
@@ -118,6 +119,13 @@
         let saving =
             endpoint_file::keep_saved(cfg.data.clone(), Arc::clone(&hub), log.clone(), cx.clone());
         tokio::spawn(saving);
+        hub.apply_quarantine_report(quarantine_file::load(&cfg.data, &log));
+        tokio::spawn(quarantine_file::keep_saved(
+            cfg.data.clone(),
+            Arc::clone(&hub),
+            log.clone(),
+            cx.clone(),
+        ));
         tokio::spawn(Arc::clone(&hub).run(cx.clone()));
         let (listener, _) = process::bind(cfg.listen).await?;
         let fallback = server::build_handler(tx.clone());
--- a/src/control/subscriber.rs
+++ b/src/control/subscriber.rs
@@ -18,7 +18,7 @@
 use crate::clock::boot_now;
 use crate::wire::envelope::Body;
 use crate::wire::link::{Link, LinkConfig};
-use crate::wire::{News, Subscribe};
+use crate::wire::{News, QuarantineReport, Subscribe};
 
 /// Longest time until seeds and advertised replicas are read again for new subscriptions.
 const MAX_RESCAN_INTERVAL: Duration = Duration::from_millis(500);
@@ -48,6 +48,11 @@
         u64::MAX
     }
 
+    /// What to report to each process after it was subscribed to.
+    fn report(&self) -> Option<QuarantineReport> {
+        None
+    }
+
     /// Called after a fetch of a document from `control` succeeded or failed.
     fn on_fetched(&self, _control: SocketAddr, _fetch: &DocumentFetch) {}
 
@@ -71,6 +76,7 @@
     /// Addresses of the replicas that each subscribed process advertised last.
     advertised: Mutex<HashMap<SocketAddr, Vec<SocketAddr>>>,
     fetcher: Arc<DocumentFetcher>,
+    links: Mutex<HashMap<SocketAddr, Link>>,
     rescan_requested: Notify,
     link: LinkConfig,
     cx: CancellationToken,
@@ -88,6 +94,7 @@
             listener,
             advertised: Mutex::default(),
             fetcher,
+            links: Mutex::default(),
             rescan_requested: Notify::new(),
             link,
             cx,
@@ -110,6 +117,7 @@
                     task.abort();
                     self.advertised.lock().remove(addr);
                     self.fetcher.disconnect(*addr);
+                    self.links.lock().remove(addr);
                     self.listener.on_removed(*addr);
                 }
                 keep
@@ -123,6 +131,16 @@
         }
     }
 
+    /// Sends a report to all processes that are subscribed to. One that is not connected, or whose
+    /// queue is full, gets everything when it is connected again.
+    pub fn send_report(&self, report: &QuarantineReport) {
+        for link in self.links.lock().values() {
+            if !link.try_send(Body::QuarantineReport(report.clone())) {
+                link.close();
+            }
+        }
+    }
+
     /// Reads seeds and advertised replicas again at once.
     pub fn rescan(&self) {
         self.rescan_requested.notify_one();
@@ -159,6 +177,10 @@
         }
         self.fetcher.connect(addr, link.clone());
         self.listener.on_connected(addr);
+        self.links.lock().insert(addr, link.clone());
+        if let Some(report) = self.listener.report() {
+            link.try_send(Body::QuarantineReport(report));
+        }
         while let Some(body) = call.next().await {
             let Body::News(update) = body else { continue };
             let offered = update.offered_version;
@@ -168,6 +190,7 @@
             }
         }
         link.close();
+        self.links.lock().remove(&addr);
         self.fetcher.disconnect(addr);
         self.listener.on_disconnected(addr);
         true
--- a/src/events.rs
+++ b/src/events.rs
@@ -99,6 +99,10 @@
     LoadReportMissed = 614, Info, "load report of another entry missed";
     SettingsReloaded = 612, Info, "settings read anew";
     EndpointCrashed = 618, Warning, "endpoint crashed under requests";
+    RequestQuarantined = 619, Warning, "poison request found, such requests are refused";
+    QuarantineLifted = 623, Info, "request answered, such requests are not refused any more";
+    QuarantineEnded = 624, Info, "time of a quarantine passed, the next crash renews it";
+    QuarantineFileUnusable = 625, Warning, "file of poison requests not read or written";
     DocumentAccepted = 620, Info, "configuration document accepted";
     DocumentRefused = 621, Warning, "configuration document refused";
     AnnouncementRefused = 622, Warning, "announcement refused";
--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -11,7 +11,7 @@
 
 use super::choose::Placement;
 use super::config::{GatewayConfig, RetryPolicy, Route, Service};
-use super::crash_watch::{self, Suspect};
+use super::crash_watch::{self, Suspect, tells_its_end};
 use super::dialect::{CallerHead, SendOptions};
 use super::reason::Reason;
 use super::responses::{
@@ -23,6 +23,7 @@
 use crate::event;
 use crate::ids::{Moment, WorkspaceName};
 use crate::prompt_class::PromptClass;
+use crate::quarantine::SuspectKey;
 
 /// Rank sent to engines for requests of the highest priority that are still in time.
 const HIGHEST_RANK: u8 = 1;
@@ -70,6 +71,8 @@
     /// Endpoints that the request was sent to or that could not be connected to; none is used
     /// twice.
     pub tried: Vec<SmolStr>,
+    /// Properties of the request that may crash endpoints.
+    pub suspect_keys: Vec<SuspectKey>,
 }
 
 impl ActiveRequest {
@@ -171,6 +174,7 @@
         let suspect = Suspect {
             request: self.caller.id.clone(),
             prompt_parts: self.caller.prompt_parts.join(","),
+            keys: self.suspect_keys.clone(),
         };
         crash_watch::check_endpoint(&self.gateway, endpoint, suspect);
     }
@@ -208,6 +212,9 @@
         if !head.closes_connection {
             self.gateway.pool.put(conn, head.keep_alive);
         }
+        if tells_its_end(&parts) {
+            self.gateway.record_answer(&self.suspect_keys);
+        }
         if parts.status.is_success() {
             self.gateway.health.lock().record_success(boot_now(), &endpoint.id, None);
         }
@@ -238,6 +245,15 @@
         )
     }
 
+    /// Final response to a request that is in quarantine for this time.
+    pub(super) fn refuse_quarantined(&self, left: Duration) -> Response<ResponseBody> {
+        let reason = Reason::from("such requests crash endpoints");
+        if self.may_have_run {
+            return self.fail(reason);
+        }
+        refuse(&self.gateway, &self.caller.id, reason, left)
+    }
+
     /// Final response to a request that no endpoint answered: a retryable refusal if it cannot
     /// have run, otherwise an error with an unknown outcome.
     pub fn fail(&self, reason: impl Into<Reason>) -> Response<ResponseBody> {
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -68,6 +68,8 @@
     Wait(Duration),
     /// The request cannot be served now; the caller may retry after this time, for this reason.
     Refused(Duration, &'static str),
+    /// Such requests crash endpoints; they are refused for this time.
+    Quarantined(Duration),
 }
 
 impl ActiveRequest {
@@ -75,7 +77,9 @@
     pub async fn choose_next(&self) -> Option<Placement> {
         match self.choose().await {
             Choice::Placed(placement) => Some(*placement),
-            Choice::NoEndpoint | Choice::Wait(_) | Choice::Refused(..) => None,
+            Choice::NoEndpoint | Choice::Wait(_) | Choice::Refused(..) | Choice::Quarantined(_) => {
+                None
+            }
         }
     }
 
@@ -111,6 +115,9 @@
     /// Selects the destination of the request, or says why there is none.
     pub async fn choose(&self) -> Choice {
         let now = boot_now();
+        if let Some(left) = self.gateway.quarantine.lock().time_left(now, &self.suspect_keys) {
+            return Choice::Quarantined(left);
+        }
         let candidates = self.candidates(now);
         if candidates.is_empty() {
             return Choice::NoEndpoint;
--- a/src/gateway/control_updates.rs
+++ b/src/gateway/control_updates.rs
@@ -9,7 +9,7 @@
 use crate::control::document_fetcher::DocumentFetch;
 use crate::control::subscriber::UpdateListener;
 use crate::event;
-use crate::wire::{News, Subscribe};
+use crate::wire::{News, QuarantineReport, Subscribe};
 
 /// Listener that applies updates of control replicas to a gateway and to the list of load peers.
 pub struct GatewayListener {
@@ -50,8 +50,15 @@
         event!(self.gateway.log, ControlReachable, "control" => control.to_string());
     }
 
+    fn report(&self) -> Option<QuarantineReport> {
+        Some(self.gateway.quarantine.lock().report_all(boot_now()))
+    }
+
     fn on_update(&self, control: SocketAddr, update: News) {
         let name = control.to_string();
+        if let Some(report) = &update.quarantine {
+            self.gateway.apply_quarantine_report(report, &name);
+        }
         if let Some(document) = &update.document {
             self.gateway.apply_document(document, &name);
         }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -72,6 +72,9 @@
             Choice::Refused(after, reason) => {
                 return failed.unwrap_or_else(|| req.refuse(reason, after));
             }
+            Choice::Quarantined(left) => {
+                return failed.unwrap_or_else(|| req.refuse_quarantined(left));
+            }
         };
         let endpoint = placement.endpoint.clone();
         let out = req.build_send(&placement, req.caller.last_event);
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -12,6 +12,7 @@
 
 use super::active_request::ActiveRequest;
 use super::config::{GatewayConfig, Route, Service, Workspace};
+use super::crash_watch;
 use super::dialect::CallerHead;
 use super::responses::{ResponseBody, default_retry_after, refuse, reject};
 use super::startup;
@@ -43,6 +44,7 @@
     let priority = workspace.as_ref().and_then(|w| w.priority).unwrap_or(route.priority);
     let wait_limit = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
     let body = read_body(gateway, &config, &caller, body, wait_limit).await?;
+    let suspect_keys = crash_watch::suspect_keys(&caller);
     let entries = gateway.in_flight.lock().entry_count();
     gateway.budget.lock().record_request(started, &service.name, entries);
     Ok(ActiveRequest {
@@ -60,6 +62,7 @@
         sends: 0,
         may_have_run: false,
         tried: Vec::new(),
+        suspect_keys,
     })
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use super::active_request::ActiveRequest;
 use super::choose::Placement;
 use super::config::RetryPolicy;
+use super::crash_watch::tells_its_end;
 use super::events::{EventSplitter, StreamEvent};
 use super::reservation::Reservation;
 use super::responses::ResponseBody;
@@ -19,6 +20,7 @@
 use super::state::{Endpoint, InFlightGuard};
 use crate::clock::boot_now;
 use crate::event;
+use crate::ids::Moment;
 use crate::metrics::ClassLabels;
 
 /// Maximum number of events buffered for a caller that reads slowly.
@@ -33,6 +35,9 @@
 /// Maximum wait for an engine that takes over an idle stream.
 const FAILOVER_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Time after the first event from which a stream counts as answered without a crash.
+const ANSWERED_TIME: Duration = Duration::from_millis(1000);
+
 /// Value of the log field `ended` for a stream that was forwarded completely.
 const COMPLETE: &str = "complete";
 
@@ -251,7 +256,8 @@
 ) -> SegmentEnd {
     let Segment { response, endpoint, in_flight, reservation, predicted_first_token, sent_at } =
         segment;
-    let EndpointResponse { head, mut body, conn, .. } = response;
+    let EndpointResponse { parts, head, mut body, conn } = response;
+    let mut answer = StreamAnswer::default();
     let mut splitter = EventSplitter::default();
     let idle_timeout = (req.route.pause_limit * IDLE_TIMEOUT_PAUSES).max(MIN_IDLE_TIMEOUT);
     let mut first = true;
@@ -275,17 +281,18 @@
             }
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(Some(Err(e))) => {
-                req.suspect_crash(&endpoint);
+                answer.record_break(req, &endpoint);
                 return SegmentEnd::Broken(error_chain(&e));
             }
             Ok(None) if splitter.in_event() => {
-                req.suspect_crash(&endpoint);
+                answer.record_break(req, &endpoint);
                 return SegmentEnd::Broken("partial event".into());
             }
             Ok(None) => break,
         };
         splitter.push(&data);
         for event in splitter.by_ref() {
+            answer.record_event(req);
             if first {
                 first = false;
                 record_first_event(req, &endpoint, predicted_first_token, sent_at, progress);
@@ -300,11 +307,43 @@
             }
         }
     }
+    if tells_its_end(&parts) {
+        answer.record(req);
+    }
     drop(reservation);
     return_connection(req, head.closes_connection, head.keep_alive, conn, body);
     SegmentEnd::Complete
 }
 
+/// Whether an endpoint has answered a stream for long enough not to crash under it.
+#[derive(Default)]
+struct StreamAnswer {
+    first_event_at: Option<Moment>,
+    is_recorded: bool,
+}
+
+impl StreamAnswer {
+    fn record_event(&mut self, req: &ActiveRequest) {
+        let now = boot_now();
+        let first = *self.first_event_at.get_or_insert(now);
+        if now.saturating_sub(first) >= ANSWERED_TIME {
+            self.record(req);
+        }
+    }
+
+    fn record(&mut self, req: &ActiveRequest) {
+        if !std::mem::replace(&mut self.is_recorded, true) {
+            req.gateway.record_answer(&req.suspect_keys);
+        }
+    }
+
+    fn record_break(&self, req: &ActiveRequest, endpoint: &Endpoint) {
+        if !self.is_recorded {
+            req.suspect_crash(endpoint);
+        }
+    }
+}
+
 fn return_connection(
     req: &ActiveRequest,
     closes_connection: bool,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::control_updates::GatewayListener;
+use super::crash_watch;
 use super::handler;
 use super::load_exchange::{self, LoadPeers};
 use super::responses::{self, ResponseBody};
@@ -78,6 +79,7 @@
     });
     let link = build_link_config(&gateway.cfg.node, "entry");
     let subscriber = ReplicaSubscriber::new(listener as Arc<dyn UpdateListener>, link, cx.clone());
+    tokio::spawn(crash_watch::run(Arc::clone(&gateway), Arc::clone(&subscriber), cx.clone()));
     tokio::spawn(subscriber.run(seeds));
     if gateway.cfg.policy.load_exchange {
         tokio::spawn(load_exchange::send_load(
@@ -127,6 +129,7 @@
         let endpoints = gateway.endpoints.lock();
         gateway.metrics.endpoints.set(endpoints.ready_count() as i64);
         gateway.health.lock().retain(|id| endpoints.is_ready(id));
+        gateway.expire_quarantine();
         gateway.limits.lock().retain(boot_now(), |id| endpoints.is_ready(id));
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,6 +28,7 @@
 use crate::event;
 use crate::ids::Moment;
 use crate::metrics::{ClassLabels, Metrics, RequestLabels};
+use crate::quarantine::Quarantine;
 use crate::wire::{Announcement, Document, Standing};
 
 /// Time after which the endpoints reported by a lost control replica are dropped, provided another
@@ -206,6 +207,10 @@
     pub health: Mutex<Health>,
     /// Rates that endpoints name for all entries together.
     pub limits: Mutex<EndpointLimits>,
+    /// Poison requests, as all entries know them.
+    pub quarantine: Mutex<Quarantine>,
+    /// Wakes the task that reports what this entry learns of poison requests.
+    pub quarantine_changed: Notify,
     /// Endpoints that are being checked for a crash, with the suspects.
     pub checked_endpoints: Mutex<CheckedEndpoints>,
     /// Retries that this entry may still make.
@@ -240,6 +245,8 @@
             smoothed_backlog: Mutex::default(),
             health: Mutex::default(),
             limits: Mutex::default(),
+            quarantine: Mutex::default(),
+            quarantine_changed: Notify::new(),
             checked_endpoints: Mutex::default(),
             budget: Mutex::new(budget),
             pool: Pool::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod platform;
 pub mod process;
 pub mod prompt_class;
+pub mod quarantine;
 pub mod raft;
 pub mod settings;
 pub mod trace;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,8 @@
     pub in_flight: Gauge,
     /// Crashes of endpoints that this process noticed.
     pub crashes: Counter,
+    /// Verdicts by which poison requests are refused.
+    pub quarantined: Gauge,
     /// Version of the applied configuration.
     pub config_version: Gauge<u64, AtomicU64>,
     /// 1 while the configuration lease is held, else 0.
@@ -88,6 +90,7 @@
             entries: Gauge::default(),
             in_flight: Gauge::default(),
             crashes: Counter::default(),
+            quarantined: Gauge::default(),
             config_version: Gauge::default(),
             lease: Gauge::default(),
             kv_reserved: Gauge::default(),
@@ -114,6 +117,7 @@
         r.register("entries", "Entries that share their load", self.entries.clone());
         r.register("in_flight", "Requests under way", self.in_flight.clone());
         r.register("endpoint_crashes", "Crashes of endpoints noticed", self.crashes.clone());
+        r.register("quarantined", "Kinds of poison request refused", self.quarantined.clone());
         r.register("config_version", "Configuration in force", self.config_version.clone());
         r.register("lease_held", "Configuration lease held", self.lease.clone());
         r.register("kv_reserved_tokens", "KV memory reserved", self.kv_reserved.clone());
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -6,7 +6,7 @@
     pub call: u64,
     #[prost(
         oneof = "envelope::Body",
-        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61"
+        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -81,6 +81,8 @@
         Document(super::Document),
         #[prost(message, tag = "61")]
         DocumentPart(super::DocumentPart),
+        #[prost(message, tag = "62")]
+        QuarantineReport(super::QuarantineReport),
     }
 }
 /// Handshake, the first frame in each direction: protocol version, node and role of the sender.
@@ -930,6 +932,62 @@
     /// Version of a newer document that the subscriber may fetch; 0 for none.
     #[prost(uint64, tag = "7")]
     pub offered_version: u64,
+    /// What was reported of poison requests.
+    #[prost(message, optional, tag = "8")]
+    pub quarantine: ::core::option::Option<QuarantineReport>,
+}
+/// What a process knows of poison requests: all of it, or what changed. Keys are hashes of properties
+/// of requests.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuarantineReport {
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: ::prost::alloc::vec::Vec<CrashRecord>,
+    #[prost(message, repeated, tag = "2")]
+    pub answered: ::prost::alloc::vec::Vec<SuspectAnswer>,
+    #[prost(message, repeated, tag = "3")]
+    pub verdicts: ::prost::alloc::vec::Vec<VerdictRecord>,
+}
+/// What a control replica stores of poison requests for its next start. The ages in the report count up
+/// to the time of saving, wall time in milliseconds since 1970.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StoredQuarantine {
+    #[prost(message, optional, tag = "1")]
+    pub report: ::core::option::Option<QuarantineReport>,
+    #[prost(uint64, tag = "2")]
+    pub saved_at_ms: u64,
+}
+/// Crash of an endpoint, and the requests that it had just begun to answer.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashRecord {
+    /// Hash of the endpoint's id.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub suspects: ::prost::alloc::vec::Vec<SuspectRequest>,
+}
+/// Keys of one request that was at an endpoint when it crashed.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SuspectRequest {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub keys: ::prost::alloc::vec::Vec<u64>,
+}
+/// A key that was answered without a crash, and how long ago last.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SuspectAnswer {
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+}
+/// Requests with all of these keys are refused.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct VerdictRecord {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub keys: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 /// Asks for a part of the configuration document that was offered, from an offset in its body on.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
