--- a/tests/platform/poison.rs
+++ b/tests/platform/poison.rs
@@ -11,11 +11,12 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::deployment::{Deployment, ask_with_parts, call};
-use crate::servers::{Records, Server, keep_running};
+use crate::deployment::{Deployment, ask_with_parts, call, plain};
+use crate::servers::{Records, keep_running};
 
 const ENTRIES: usize = 3;
 const ENGINES: usize = 8;
+const ORDERS: usize = 3;
 
 /// Time for which a crashed server is down.
 const DOWN: Duration = Duration::from_millis(1500);
@@ -47,8 +48,8 @@
     }
 }
 
-/// Starts three control replicas, entries, engines that start again after a crash, and one server
-/// of orders.
+/// Starts three control replicas, entries, engines that start again after a crash, and servers
+/// of orders that do too.
 async fn start_fixture() -> Fixture {
     let mut nodes = Deployment::start(3, ENTRIES).await;
     let document = nodes.document();
@@ -61,9 +62,11 @@
         let (id, records) = (format!("engine-{at}"), records.clone());
         servers.push(keep_running(id, "engines", addr, control.clone(), records, DOWN));
     }
-    let addr = nodes.server_address(20);
-    let order = Server::start("order-0", "orders", addr, control.clone(), &records).await;
-    servers.push(tokio::spawn(async move { order.crashed().await }));
+    for at in 0..ORDERS {
+        let addr = nodes.server_address(20 + at);
+        let (id, records) = (format!("order-{at}"), records.clone());
+        servers.push(keep_running(id, "orders", addr, control.clone(), records, DOWN));
+    }
     for entry in 0..ENTRIES {
         nodes.wait_serving(entry).await;
     }
@@ -205,3 +208,37 @@
         assert!(verdicts.is_empty(), "{verdicts:#?}");
     }
 }
+
+const CRASHING_PATH: &str = "/book/status/crashing";
+
+fn crashing_lookup() -> Request<Full<Bytes>> {
+    plain("GET", CRASHING_PATH)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_crashes_servers_soon_reaches_none_whenever_it_is_repeated() {
+    let fixture = start_fixture().await;
+    *fixture.records.crashing_path.lock() = Some(CRASHING_PATH.into());
+    let time = 4 * CONTACT;
+    let sound = send_steadily(&fixture, Duration::from_millis(60), time, || {
+        plain("GET", "/book/status/sound")
+    });
+    let bookings =
+        send_steadily(&fixture, Duration::from_millis(150), time, || plain("POST", "/book/x"));
+    let bad = send_steadily(&fixture, Duration::from_millis(250), time, crashing_lookup);
+    let (sound, bookings) = (sound.await.unwrap(), bookings.await.unwrap());
+    let bad = bad.await.unwrap();
+    let crashes = fixture.records.crashes.lock().len();
+    let third = fixture.records.crash_time(3);
+    if let Some(third) = third {
+        let later = fixture.records.arrivals_at_path(CRASHING_PATH, third + CONTACT);
+        assert!(later <= MOST_LATER, "{later} requests reached servers, {crashes} crashed");
+    }
+    let from = third.map_or(bad[0].at, |third| third + 2 * CONTACT);
+    for sent in [sound, bookings] {
+        let sent: Vec<_> = sent.into_iter().filter(|s| s.at > from).collect();
+        let served = sent.iter().filter(|s| s.is_served()).count();
+        let wanted = SOUND_SHARE * sent.len() as f64;
+        assert!(served as f64 >= wanted, "{served} of {} are served", sent.len());
+    }
+}
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -61,6 +61,7 @@
     pub helpers: Option<String>,
     /// Ids of the prompt's parts, in order.
     pub parts: Vec<String>,
+    pub path: String,
     pub at: Instant,
 }
 
@@ -76,6 +77,8 @@
     pub reservations: Arc<Mutex<Vec<(String, u64, Instant)>>>,
     /// Prompt part that crashes the servers that begin to answer a request with it.
     pub crashing_part: Arc<Mutex<Option<String>>>,
+    /// Path that crashes the servers that begin to run a request to it.
+    pub crashing_path: Arc<Mutex<Option<String>>>,
     /// Servers that crashed, and when.
     pub crashes: Arc<Mutex<Vec<(String, Instant)>>>,
     /// Crashes the running server of each address, by the id without the number of its start.
@@ -105,6 +108,12 @@
         runs.iter().filter(has_part).count()
     }
 
+    /// Requests that arrived at servers with a path, after a time.
+    pub fn arrivals_at_path(&self, path: &str, after: Instant) -> usize {
+        let runs = self.runs.lock();
+        runs.iter().filter(|r| r.at > after && r.path == path).count()
+    }
+
     /// Crashes a server that is kept running; `id` is without the number of its start.
     pub fn crash_now(&self, id: &str) {
         if let Some(signal) = self.crash_signals.lock().get(id) {
@@ -304,7 +313,9 @@
 fn crashes_server(records: &Records, server: &str, req: &Request<Incoming>) -> bool {
     let is_meant = header(req, "expect-instance") == Some(server);
     let part = records.crashing_part.lock().clone();
-    is_meant && part.is_some_and(|part| prompt_parts(req).contains(&part))
+    let path = records.crashing_path.lock().clone();
+    let has_part = part.is_some_and(|part| prompt_parts(req).contains(&part));
+    is_meant && (has_part || path.is_some_and(|path| path == req.uri().path()))
 }
 
 /// Crashes the server soon; about half of the requests get the head of a response before.
@@ -325,6 +336,7 @@
         last_event: None,
         helpers: None,
         parts: prompt_parts(&req),
+        path: req.uri().path().to_owned(),
         at: Instant::now(),
     });
     if id.bytes().last().is_some_and(|b| b % 2 == 0) {
@@ -368,6 +380,7 @@
         last_event,
         helpers: text("helpers"),
         parts: prompt_parts(&req),
+        path: req.uri().path().to_owned(),
         at: Instant::now(),
     });
     let limit = records.limits.lock().get(&server).copied();
--- a/tests/soak/bites.rs
+++ b/tests/soak/bites.rs
@@ -17,6 +17,7 @@
         last_event: None,
         helpers: None,
         parts: Vec::new(),
+        path: String::new(),
         at,
     }
 }
