Keep repeated requests that crash servers away from servers

Callers saw all three servers of orders end again and again: one lookup crashed each server that ran it, and each repeat of it, and the entry's own repeat, was sent on as a new request.

The whole request (method, host, path, caller, body) is now one more property that the quarantine judges, beside the parts of a prompt. Crashes count as separate from 50 ms on (100 before), so that three servers that end within 0.2 s suffice; the simulation now plays notices up to 30 ms late.

--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{header, response};
+use http::{header, request, response};
 use smol_str::SmolStr;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -21,7 +21,7 @@
 use crate::event;
 use crate::quarantine::{
     Change, Crash, MAX_KEYS, MAX_SUSPECTS, SuspectKey, endpoint_key, format_keys, log_changes,
-    prompt_part_key,
+    prompt_part_key, request_key,
 };
 use crate::wire::QuarantineReport;
 
@@ -48,10 +48,15 @@
 /// Endpoints that are being checked, with the requests that lost their connection to them.
 pub type CheckedEndpoints = HashMap<EndpointId, Vec<Suspect>>;
 
-/// Properties of a request that may crash endpoints: the parts of its prompt that others may share.
-pub fn suspect_keys(caller: &CallerHead) -> Vec<SuspectKey> {
+/// Properties of a request that may crash endpoints: the whole of it, and the parts of its prompt
+/// that others may share.
+pub fn suspect_keys(caller: &CallerHead, head: &request::Parts, body: &[u8]) -> Vec<SuspectKey> {
+    let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+    let key = caller.key.as_deref().unwrap_or_default();
+    let whole = request_key(head.method.as_str(), &caller.host, target, key, body);
     let shared = caller.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    shared.iter().take(MAX_KEYS).map(|id| prompt_part_key(id)).collect()
+    let parts = shared.iter().take(MAX_KEYS - 1).map(|id| prompt_part_key(id));
+    std::iter::once(whole).chain(parts).collect()
 }
 
 /// Whether the end of a body is told apart from a lost connection.
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -44,7 +44,7 @@
     let priority = workspace.as_ref().and_then(|w| w.priority).unwrap_or(route.priority);
     let wait_limit = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
     let body = read_body(gateway, &config, &caller, body, wait_limit).await?;
-    let suspect_keys = crash_watch::suspect_keys(&caller);
+    let suspect_keys = crash_watch::suspect_keys(&caller, &head, &body);
     let entries = gateway.in_flight.lock().entry_count();
     gateway.budget.lock().record_request(started, &service.name, entries);
     Ok(ActiveRequest {
--- a/src/quarantine/verdict.rs
+++ b/src/quarantine/verdict.rs
@@ -13,7 +13,7 @@
 const MIN_CRASHES: usize = 3;
 
 /// Time within which crashes may have a common cause: servers that are lost together.
-const COINCIDENCE_TIME: Duration = Duration::from_millis(100);
+const COINCIDENCE_TIME: Duration = Duration::from_millis(50);
 
 /// Time for which requests are refused after a verdict.
 pub(super) const QUARANTINE_TIME: Duration = Duration::from_secs(600);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -25,6 +25,9 @@
 /// Time in which a report reaches the other entries, in ms.
 const REPORT_MS: std::ops::Range<u64> = 5..150;
 
+/// Time from a crash to its notice, in ms.
+const NOTICE_MS: std::ops::Range<u64> = 0..30;
+
 /// Time for which a crashed server is down, in ms.
 const DOWN_MS: u64 = 3000;
 
@@ -258,13 +261,14 @@
             }
             stays
         });
+        let noticed = self.now() + Duration::from_millis(self.rng.random_range(NOTICE_MS));
         for entry in 0..ENTRIES {
             let suspects: Vec<_> =
                 lost.iter().filter(|r| r.entry == entry).map(|r| r.keys.clone()).collect();
             if !suspects.is_empty() {
-                let at = self.now();
-                let crash = Crash { endpoint: start, at, suspects };
-                self.entries[entry].record_crash(at, crash);
+                let crash = Crash { endpoint: start, at: noticed, suspects };
+                let now = self.now();
+                self.entries[entry].record_crash(now, crash);
                 self.note_changes(entry, Vec::new());
             }
         }
