Send nothing to a server that says in an answer that it leaves

The adapter decodes it, and it counts like an announcement of the same, until the endpoint starts again.

--- a/src/events.rs
+++ b/src/events.rs
@@ -103,6 +103,7 @@
     QuarantineLifted = 623, Info, "request answered, such requests are not refused any more";
     QuarantineEnded = 624, Info, "time of a quarantine passed, the next crash renews it";
     QuarantineFileUnusable = 625, Warning, "file of poison requests not read or written";
+    EndpointSaidItLeaves = 626, Info, "endpoint said in an answer that it leaves";
     DocumentAccepted = 620, Info, "configuration document accepted";
     DocumentRefused = 621, Warning, "configuration document refused";
     AnnouncementRefused = 622, Warning, "announcement refused";
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -75,6 +75,8 @@
     pub closes_connection: bool,
     /// Whether the body has no content encoding.
     pub unencoded: bool,
+    /// Whether the endpoint says that it leaves.
+    pub is_leaving: bool,
     /// Requests per second that the endpoint takes from all entries together, if it names a limit.
     pub limit_per_s: Option<f64>,
 }
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -139,6 +139,9 @@
         let (parts, body) = conn.sender.send_request(req).await.ok()?.into_parts();
         body.collect().await.ok()?;
         let head = gateway.dialect.decode_response(&parts);
+        if head.is_leaving {
+            gateway.record_leaving(&endpoint.id);
+        }
         if !head.closes_connection {
             gateway.pool.put(conn, head.keep_alive);
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -57,6 +57,8 @@
 #[derive(Default)]
 pub struct Endpoints {
     reports: HashMap<String, ReplicaReport>,
+    /// Endpoints that said in an answer that they leave, with the time of the start that said so.
+    leaving: HashMap<EndpointId, u64>,
     ready: HashMap<SmolStr, Arc<Vec<Endpoint>>>,
 }
 
@@ -99,6 +101,20 @@
         }
     }
 
+    /// Records that an endpoint said in an answer that it leaves; false if that is known.
+    ///
+    /// It counts like an announcement of the same, whatever the endpoint announces afterwards, until
+    /// it starts again. Its announcements tell the other entries; this entry does not.
+    pub fn mark_leaving(&mut self, id: &EndpointId) -> bool {
+        let announcements = self.reports.values().filter_map(|r| r.announcements.get(id));
+        let born = announcements.map(|a| a.born).max().unwrap_or_default();
+        let is_news = self.leaving.insert(id.clone(), born) != Some(born);
+        if is_news {
+            self.merge();
+        }
+        is_news
+    }
+
     /// Ready endpoints of a service, sorted by id.
     pub fn ready_endpoints(&self, service: &str) -> Arc<Vec<Endpoint>> {
         self.ready.get(service).cloned().unwrap_or_default()
@@ -122,6 +138,7 @@
                 *current = announcement;
             }
         }
+        self.leaving.retain(|id, born| newest.get(id.as_str()).is_some_and(|a| a.born <= *born));
         let mut by_address: HashMap<&str, &Announcement> = HashMap::new();
         for announcement in newest.into_values() {
             let current = by_address.entry(announcement.address.as_str()).or_insert(announcement);
@@ -133,6 +150,9 @@
         for announcement in by_address.into_values().filter(|s| s.standing() == Standing::Ready) {
             let Ok(addr) = announcement.address.parse() else { continue };
             let (id, zone) = (EndpointId::new(&announcement.id), SmolStr::new(&announcement.zone));
+            if self.leaving.contains_key(&id) {
+                continue;
+            }
             let endpoint = Endpoint { id, addr, zone, slots: announcement.slots };
             ready.entry(SmolStr::new(&announcement.service)).or_default().push(endpoint);
         }
@@ -290,6 +310,13 @@
         }
     }
 
+    /// Records and logs that an endpoint said in an answer that it leaves.
+    pub fn record_leaving(&self, id: &EndpointId) {
+        if self.endpoints.lock().mark_leaving(id) {
+            event!(self.log, EndpointSaidItLeaves, "endpoint" => id.as_str());
+        }
+    }
+
     /// Records and logs the limit that a response of an endpoint names, or that it names none.
     pub fn record_limit(&self, id: &EndpointId, per_s: Option<f64>) {
         let change = self.limits.lock().record_response(boot_now(), id, per_s);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -42,6 +42,8 @@
 const AT_SERVER: HeaderName = HeaderName::from_static("at-server");
 /// Requests a second that the endpoint takes from all entries together.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// `1` if the endpoint leaves and wants no more requests.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Time for which the endpoint keeps an idle connection open.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -130,6 +132,7 @@
             failing_endpoint: header_text(headers, &AT_SERVER).map(SmolStr::new),
             keep_alive: header_text(headers, &KEEP_ALIVE).and_then(parse_keep_alive),
             closes_connection,
+            is_leaving: header_text(headers, &SERVER_LEAVING) == Some("1"),
             limit_per_s: header_text(headers, &SERVER_LIMIT).and_then(parse_limit),
             unencoded: !headers.contains_key(header::CONTENT_ENCODING),
         }
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -78,6 +78,13 @@
         self.child.try_wait().unwrap().is_some()
     }
 
+    /// Highest memory use of this process so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Log lines of this process that contain a request id or an event number.
     pub fn log_lines(&self, wanted: &str) -> Vec<Value> {
         let mut text = String::new();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod deployment;
 mod limits;
 mod poison;
+mod promises;
 mod requests;
 mod servers;
 mod system;
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -12,8 +12,8 @@
 pub struct Fixture {
     pub nodes: Deployment,
     pub records: Records,
-    engines: Vec<Server>,
-    orders: Vec<Server>,
+    pub engines: Vec<Server>,
+    pub orders: Vec<Server>,
 }
 
 /// Starts one control replica, entries, two engines and two order servers, and waits until the
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -46,6 +46,12 @@
     Slow,
     /// Starts a stream and sends no event.
     Stalls,
+    /// Responds with success and says that it leaves, but goes on to announce that it is ready.
+    SaysItLeaves,
+    /// Responds that it did not run the request and wants none for two seconds.
+    NamesTime,
+    /// Sends bytes without end in place of a body or an event.
+    SendsWithoutEnd,
 }
 
 /// A request that a server ran or refused.
@@ -369,7 +375,8 @@
     let id = text("attempt-id").unwrap_or_default();
     let streams = text("token-usage").is_some();
     let last_event = text("last-event-id").and_then(|v| v.parse().ok());
-    let is_refused = mode == ServerMode::Refuses || text("expect-instance") != Some(server.clone());
+    let refuses = matches!(mode, ServerMode::Refuses | ServerMode::NamesTime);
+    let is_refused = refuses || text("expect-instance") != Some(server.clone());
     records.runs.lock().push(Run {
         request: id.clone(),
         server: server.clone(),
@@ -390,12 +397,23 @@
     };
     if is_refused {
         let refusal = with_limit(Response::builder().status(503).header("not-executed", "1"));
+        let refusal = match mode {
+            ServerMode::NamesTime => refusal.header("retry-after", "2"),
+            _ => refusal,
+        };
         return Ok(refusal.header("attempt-id", id).body(full_body("")).unwrap());
     }
     let response_id = if mode == ServerMode::WrongRequestId { "another" } else { id.as_str() };
     let head = with_limit(Response::builder())
         .header("attempt-id", response_id)
         .header("server-signature", format!("signed-by-{server}"));
+    let head = match mode {
+        ServerMode::SaysItLeaves => head.header("server-leaving", "1"),
+        _ => head,
+    };
+    if mode == ServerMode::SendsWithoutEnd {
+        return Ok(head.body(endless_body()).unwrap());
+    }
     if mode == ServerMode::Fails {
         return Ok(head.status(500).body(full_body("failed")).unwrap());
     }
@@ -476,3 +494,10 @@
     let parts = [Ok(Frame::data(Bytes::from_static(b"par"))), Err(std::io::Error::other("lost"))];
     BodyExt::boxed(StreamBody::new(futures::stream::iter(parts)))
 }
+
+/// A body of zeros that ends only when its connection is closed.
+fn endless_body() -> Body {
+    let part = Bytes::from_static(&[b'0'; 64 * 1024]);
+    let parts = futures::stream::repeat_with(move || Ok(Frame::data(part.clone())));
+    BodyExt::boxed(StreamBody::new(parts))
+}
