Leave a server alone for the time that it names with a 503

The time is kept with the backoff after failed connections, at most 60 s, and one place answers whether an endpoint may be sent to. If all endpoints of a service named a time, callers are refused at once and told the earliest; a known time is not cut to a share of what the caller has left.

--- a/src/events.rs
+++ b/src/events.rs
@@ -104,6 +104,7 @@
     QuarantineEnded = 624, Info, "time of a quarantine passed, the next crash renews it";
     QuarantineFileUnusable = 625, Warning, "file of poison requests not read or written";
     EndpointSaidItLeaves = 626, Info, "endpoint said in an answer that it leaves";
+    EndpointNamedTime = 627, Info, "endpoint wants no requests for a time";
     DocumentAccepted = 620, Info, "configuration document accepted";
     DocumentRefused = 621, Warning, "configuration document refused";
     AnnouncementRefused = 622, Warning, "announcement refused";
--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -15,7 +15,7 @@
 use super::dialect::{CallerHead, SendOptions};
 use super::reason::Reason;
 use super::responses::{
-    ResponseBody, body_from_bytes, jittered_retry_after, refuse, text_response,
+    ResponseBody, body_from_bytes, jittered_retry_after, refuse, spread_retry_after, text_response,
 };
 use super::send::{EndpointResponse, OutgoingRequest, SendOutcome, error_chain};
 use super::state::{Endpoint, Gateway};
@@ -155,7 +155,10 @@
             SendOutcome::NotSent(_) => health.record_unreachable(now, &endpoint.id),
             SendOutcome::NotRun(_) => {
                 self.sends += 1;
-                health.record_failure(now, &endpoint.id);
+                // An endpoint that named a time is known to take requests after it.
+                if health.unwilling_time(now, &endpoint.id).is_zero() {
+                    health.record_failure(now, &endpoint.id);
+                }
             }
             SendOutcome::Unknown(_) | SendOutcome::Lost(_) => {
                 self.sends += 1;
@@ -245,13 +248,17 @@
         )
     }
 
-    /// Final response to a request that is in quarantine for this time.
-    pub(super) fn refuse_quarantined(&self, left: Duration) -> Response<ResponseBody> {
-        let reason = Reason::from("such requests crash endpoints");
+    /// Final response to a request that is refused for a known time. Unlike an estimate, that time
+    /// is told also to callers that have less time left: it would be in vain to return before.
+    pub(super) fn refuse_for(
+        &self,
+        time: Duration,
+        reason: &'static str,
+    ) -> Response<ResponseBody> {
         if self.may_have_run {
             return self.fail(reason);
         }
-        refuse(&self.gateway, &self.caller.id, reason, left)
+        refuse(&self.gateway, &self.caller.id, reason, spread_retry_after(time))
     }
 
     /// Final response to a request that no endpoint answered: a retryable refusal if it cannot
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -68,8 +68,8 @@
     Wait(Duration),
     /// The request cannot be served now; the caller may retry after this time, for this reason.
     Refused(Duration, &'static str),
-    /// Such requests crash endpoints; they are refused for this time.
-    Quarantined(Duration),
+    /// The request is refused for this time, which is known, for this reason.
+    RefusedFor(Duration, &'static str),
 }
 
 impl ActiveRequest {
@@ -77,7 +77,7 @@
     pub async fn choose_next(&self) -> Option<Placement> {
         match self.choose().await {
             Choice::Placed(placement) => Some(*placement),
-            Choice::NoEndpoint | Choice::Wait(_) | Choice::Refused(..) | Choice::Quarantined(_) => {
+            Choice::NoEndpoint | Choice::Wait(_) | Choice::Refused(..) | Choice::RefusedFor(..) => {
                 None
             }
         }
@@ -116,11 +116,11 @@
     pub async fn choose(&self) -> Choice {
         let now = boot_now();
         if let Some(left) = self.gateway.quarantine.lock().time_left(now, &self.suspect_keys) {
-            return Choice::Quarantined(left);
+            return Choice::RefusedFor(left, "such requests crash endpoints");
         }
         let candidates = self.candidates(now);
         if candidates.is_empty() {
-            return Choice::NoEndpoint;
+            return self.choose_later(now);
         }
         match (self.service.engine.is_some(), self.caller.tokens) {
             (true, Some(_)) => self.choose_engine(now, candidates).await,
@@ -128,6 +128,20 @@
         }
     }
 
+    /// Refuses the request if all endpoints of the service want no requests now, until the first of
+    /// them takes some again; otherwise one may be ready or reachable soon.
+    fn choose_later(&self, now: Moment) -> Choice {
+        let endpoints = self.gateway.endpoints.lock().ready_endpoints(&self.service.name);
+        let health = self.gateway.health.lock();
+        let times = endpoints.iter().map(|e| health.unwilling_time(now, &e.id));
+        match times.min() {
+            Some(time) if !time.is_zero() => {
+                Choice::RefusedFor(time, "the endpoints want no requests now")
+            }
+            _ => Choice::NoEndpoint,
+        }
+    }
+
     /// Selects the endpoint with the lowest cost: in-flight requests per slot, scaled by its
     /// slowness, plus its failure rate.
     fn choose_least_loaded(&self, now: Moment, candidates: Vec<Endpoint>) -> Choice {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -77,6 +77,8 @@
     pub unencoded: bool,
     /// Whether the endpoint says that it leaves.
     pub is_leaving: bool,
+    /// Time for which the endpoint wants no requests from this entry.
+    pub retry_after: Option<Duration>,
     /// Requests per second that the endpoint takes from all entries together, if it names a limit.
     pub limit_per_s: Option<f64>,
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -72,8 +72,8 @@
             Choice::Refused(after, reason) => {
                 return failed.unwrap_or_else(|| req.refuse(reason, after));
             }
-            Choice::Quarantined(left) => {
-                return failed.unwrap_or_else(|| req.refuse_quarantined(left));
+            Choice::RefusedFor(time, reason) => {
+                return failed.unwrap_or_else(|| req.refuse_for(time, reason));
             }
         };
         let endpoint = placement.endpoint.clone();
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -15,6 +15,10 @@
 /// Backoff after the first failed connection; it doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(400);
 
+/// Maximum time for which an endpoint is left alone because it named a time; it may have lost its
+/// reason long before.
+const MAX_NAMED_TIME: Duration = Duration::from_secs(60);
+
 /// Maximum backoff after failed connections.
 const MAX_BACKOFF: Duration = Duration::from_millis(3200);
 
@@ -25,6 +29,8 @@
     updated_at: Moment,
     failed_connects: u32,
     retry_at: Moment,
+    /// Until when the endpoint wants no requests, as it said itself.
+    unwilling_until: Moment,
 }
 
 /// Health of all endpoints that were sent to.
@@ -59,9 +65,24 @@
         health.retry_at = now + backoff.min(MAX_BACKOFF);
     }
 
-    /// Whether the endpoint is outside its connection backoff.
+    /// Records that the endpoint wants no requests for a time, and returns the time for which it
+    /// gets none.
+    pub fn record_named_time(&mut self, now: Moment, id: &EndpointId, named: Duration) -> Duration {
+        let time = named.min(MAX_NAMED_TIME);
+        let health = self.decay(now, id);
+        health.unwilling_until = health.unwilling_until.max(now + time);
+        time
+    }
+
+    /// Whether the endpoint may be sent to: it is outside its connection backoff, and outside the
+    /// time in which it wants no requests.
     pub fn is_available(&self, now: Moment, id: &EndpointId) -> bool {
-        self.records.get(id).is_none_or(|r| now >= r.retry_at)
+        self.records.get(id).is_none_or(|r| now >= r.retry_at && now >= r.unwilling_until)
+    }
+
+    /// Time for which the endpoint still wants no requests; zero if it takes them.
+    pub fn unwilling_time(&self, now: Moment, id: &EndpointId) -> Duration {
+        self.records.get(id).map_or(Duration::ZERO, |r| r.unwilling_until.saturating_sub(now))
     }
 
     /// Returns the failure rate, 0 to 1, and the factor by which the endpoint is slower than
--- a/src/gateway/responses.rs
+++ b/src/gateway/responses.rs
@@ -42,6 +42,11 @@
     after.mul_f64(rand::rng().random_range(0.7..1.4)).min(longest)
 }
 
+/// Retry delay of at least `time`, longer by a random amount so that callers return one by one.
+pub fn spread_retry_after(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(1.0..1.2))
+}
+
 /// Retry delay while this process has no configuration or is stopping.
 pub fn default_retry_after(caller: &CallerHead) -> Duration {
     let timeout = caller.timeout.unwrap_or(Duration::from_secs(1));
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -122,6 +122,9 @@
     let (parts, body) = response.into_parts();
     let head = gateway.dialect.decode_response(&parts);
     gateway.record_limit(endpoint, head.limit_per_s);
+    if let Some(named) = head.retry_after {
+        gateway.record_named_time(endpoint, named);
+    }
     if head.is_leaving {
         gateway.record_leaving(endpoint);
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -310,6 +310,13 @@
         }
     }
 
+    /// Records and logs that an endpoint wants no requests from this entry for a time.
+    pub fn record_named_time(&self, id: &EndpointId, named: Duration) {
+        let time = self.health.lock().record_named_time(boot_now(), id, named);
+        event!(self.log, EndpointNamedTime, "endpoint" => id.as_str(),
+            "named_ms" => named.as_millis() as u64, "ms" => time.as_millis() as u64);
+    }
+
     /// Records and logs that an endpoint said in an answer that it leaves.
     pub fn record_leaving(&self, id: &EndpointId) {
         if self.endpoints.lock().mark_leaving(id) {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, HeaderValue, header, request, response};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header, request, response};
 use serde_json::json;
 use smol_str::SmolStr;
 
@@ -133,6 +133,9 @@
             keep_alive: header_text(headers, &KEEP_ALIVE).and_then(parse_keep_alive),
             closes_connection,
             is_leaving: header_text(headers, &SERVER_LEAVING) == Some("1"),
+            retry_after: header_text(headers, &header::RETRY_AFTER)
+                .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
+                .and_then(parse_retry_after),
             limit_per_s: header_text(headers, &SERVER_LIMIT).and_then(parse_limit),
             unencoded: !headers.contains_key(header::CONTENT_ENCODING),
         }
@@ -220,6 +223,12 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
+/// Parses a time in seconds; what is no positive number names no time.
+fn parse_retry_after(value: &str) -> Option<Duration> {
+    let seconds = value.parse().ok().filter(|s: &f64| s.is_finite() && *s > 0.0)?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Parses a rate; what is no number of zero or more names no limit.
 fn parse_limit(value: &str) -> Option<f64> {
     value.parse().ok().filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)
