Bound what is buffered of an endpoint's answer

Answers are cut off at 4 MiB, events at 256 KiB, answers to orders at 64 KiB; the request then goes on as after any broken answer.

--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode, request};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -35,6 +35,9 @@
 /// Rank sent to engines for requests that already missed their objective.
 const LATE_RANK: u8 = 8;
 
+/// Maximum size of an answer that is collected, in bytes; as for requests, by default.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
 /// Time without a response from an endpoint that is not an engine after which an idempotent
 /// request is retried elsewhere.
 const PLAIN_HEAD_TIMEOUT: Duration = Duration::from_millis(900);
@@ -202,13 +205,18 @@
         endpoint: &Endpoint,
     ) -> Result<Response<ResponseBody>, Reason> {
         let EndpointResponse { parts, head, body, conn } = response;
-        let collected = timeout(self.remaining(), body.collect()).await;
+        let limited = Limited::new(body, MAX_ANSWER_BYTES);
+        let collected = timeout(self.remaining(), limited.collect()).await;
         let body = match collected {
             Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                self.gateway.health.lock().record_failure(boot_now(), &endpoint.id);
+                return Err("the answer is too large".into());
+            }
             Ok(Err(e)) => {
                 self.gateway.health.lock().record_failure(boot_now(), &endpoint.id);
                 self.suspect_crash(endpoint);
-                return Err(Reason::detailed("the answer broke off", error_chain(&e)));
+                return Err(Reason::detailed("the answer broke off", error_chain(e.as_ref())));
             }
             Err(_) => return Err("the answer did not end in time".into()),
         };
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// A complete event of the stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -34,6 +37,11 @@
         self.buf.extend_from_slice(data);
     }
 
+    /// Whether more bytes are buffered than an event may have.
+    pub fn is_too_large(&self) -> bool {
+        self.buf.len() > MAX_EVENT_BYTES
+    }
+
     /// Whether the buffer holds an incomplete event.
     pub fn in_event(&self) -> bool {
         !self.buf.is_empty()
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -306,6 +306,9 @@
                 return SegmentEnd::CallerGone;
             }
         }
+        if splitter.is_too_large() {
+            return SegmentEnd::Broken("an event is too large".into());
+        }
     }
     if tells_its_end(&parts) {
         answer.record(req);
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use http::{HeaderValue, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -118,6 +118,9 @@
     }
 }
 
+/// Maximum size of an engine's answer to a call, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
 /// Sends a call to an engine and returns the status, or `None` if it got no response.
 async fn call(
     gateway: &Gateway,
@@ -137,7 +140,7 @@
         req.headers_mut().insert(header::CONTENT_TYPE, json);
         conn.sender.ready().await.ok()?;
         let (parts, body) = conn.sender.send_request(req).await.ok()?.into_parts();
-        body.collect().await.ok()?;
+        Limited::new(body, MAX_ANSWER_BYTES).collect().await.ok()?;
         let head = gateway.dialect.decode_response(&parts);
         if head.is_leaving {
             gateway.record_leaving(&endpoint.id);
--- a/tests/platform/promises.rs
+++ b/tests/platform/promises.rs
@@ -14,6 +14,9 @@
 const UNDER_WAY: Duration = Duration::from_millis(500);
 const MOST_IN_NAMED_TIME: usize = 2;
 
+/// Memory that an entry may use, in kilobytes: that of the smallest hosts of the deployments.
+const MEMORY_KB: u64 = 160 * 1024;
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_server_that_says_in_an_answer_that_it_leaves_gets_no_more_requests() {
     let fixture = start_fixture(1).await;
@@ -73,3 +76,20 @@
     let after: f64 = headers["retry-after"].parse().unwrap();
     assert!((1.0..2.9).contains(&after), "told to come back after {after} s");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_without_end_are_cut_off_and_fill_no_memory() {
+    let fixture = start_fixture(1).await;
+    fixture.engines[0].set(ServerMode::SendsWithoutEnd);
+    fixture.orders[0].set(ServerMode::SendsWithoutEnd);
+    for _ in 0..10 {
+        let started = Instant::now();
+        let (asked, _, events) = fixture.nodes.send(0, ask("/ask/x", 1000)).await;
+        let (looked_up, ..) = fixture.nodes.send(0, plain("GET", "/book/status/x")).await;
+        assert_eq!((asked, looked_up), (200, 200), "the other servers serve");
+        assert!(events.is_ok(), "{events:?}");
+        assert!(started.elapsed() < Duration::from_secs(4), "after {:?}", started.elapsed());
+    }
+    let peak = fixture.nodes.entries[0].peak_memory_kb();
+    assert!(peak < MEMORY_KB, "{peak} KB");
+}
