Let the soak send requests that crash servers, and check that they are kept away

Callers share a prompt part; one more sends requests with another part that crashes engines, which start again. The check counts such requests from three seconds after the fifth crash, at times without a disturbance. Shown to bite on a broken history.

--- a/tests/platform/promises.rs
+++ b/tests/platform/promises.rs
@@ -55,7 +55,7 @@
     tokio::time::sleep(Duration::from_millis(2100).saturating_sub(named.elapsed())).await;
     let again = Instant::now();
     for _ in 0..40 {
-        fixture.nodes.send(0, plain("GET", "/book/status/x")).await;
+        let _ = fixture.nodes.send(0, plain("GET", "/book/status/x")).await;
     }
     let runs = fixture.records.runs.lock();
     let share = runs.iter().filter(|r| r.server == "order-0" && r.at >= again).count();
@@ -67,7 +67,7 @@
     let fixture = start_fixture(1).await;
     fixture.orders.iter().for_each(|s| s.set(ServerMode::NamesTime));
     for _ in 0..4 {
-        fixture.nodes.send(0, plain("GET", "/book/status/x")).await;
+        let _ = fixture.nodes.send(0, plain("GET", "/book/status/x")).await;
     }
     let start = Instant::now();
     let (status, headers, _) = fixture.nodes.send(0, plain("GET", "/book/status/x")).await;
--- a/tests/soak/bites.rs
+++ b/tests/soak/bites.rs
@@ -156,3 +156,19 @@
     assert_eq!(checks::check_budget(&asked, &runs).len(), 1);
     assert!(checks::check_budget(&asked, &runs[..100]).is_empty());
 }
+
+#[test]
+fn requests_with_a_part_that_crashes_servers_are_found() {
+    let (history, fifth) = (History::default(), start());
+    let with_part = |after| {
+        let mut run = run("r-1", "engine-1", fifth + after);
+        run.parts = vec!["51aed".into(), "bad".into(), "own".into()];
+        run
+    };
+    let soon: Vec<Run> = (0..9).map(|n| with_part(Duration::from_millis(300 * n))).collect();
+    assert!(checks::check_crashing_part(&history, &soon, "bad", Some(fifth)).is_empty());
+    let late: Vec<Run> = (4..8).map(|n| with_part(seconds(n))).collect();
+    assert_eq!(checks::check_crashing_part(&history, &late, "bad", Some(fifth)).len(), 1);
+    assert!(checks::check_crashing_part(&history, &late, "another", Some(fifth)).is_empty());
+    assert!(checks::check_crashing_part(&history, &late, "bad", None).is_empty());
+}
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::deployment::{ask, id_of, plain};
+use crate::deployment::{ask, ask_with_parts, id_of, plain};
 use crate::history::{End, History, Kind, Outcome};
 
 /// Time that a caller grants a request.
@@ -25,6 +25,9 @@
 /// Time after the deadline at which a caller stops to wait for a missing answer.
 const PATIENCE: Duration = Duration::from_millis(4000);
 
+/// Prompt part that requests of all callers share.
+const SHARED_PART: &str = "51aed";
+
 /// Share of the requests whose caller leaves early, in percent.
 const LEAVING_PERCENT: u32 = 8;
 
@@ -71,6 +74,17 @@
         }
     }
 
+    /// Sends requests with a prompt part that crashes servers, which nobody misses.
+    pub async fn crash_servers(self, part: String, mut rng: ChaCha8Rng, cx: CancellationToken) {
+        while !cx.is_cancelled() {
+            sleep(Duration::from_millis(rng.random_range(100..700))).await;
+            let entry = rng.random_range(0..self.entries.len());
+            let Some(mut conn) = connect(self.entries[entry]).await else { continue };
+            let req = ask_with_parts("/ask/1", 1000, &[SHARED_PART, &part]);
+            let _ = timeout(DEADLINE, exchange(&mut conn.sender, req)).await;
+        }
+    }
+
     /// Sends one request; false if the connection cannot be used again.
     async fn call_once(&self, conn: &mut Connection, entry: usize, rng: &mut ChaCha8Rng) -> bool {
         if conn.sender.ready().await.is_err() {
@@ -122,7 +136,7 @@
         _ => rng.random_range(100..5_000),
     };
     let (kind, mut req) = match rng.random_range(0..10) {
-        0..4 => (Kind::Ask, ask("/ask/1", prompt)),
+        0..4 => (Kind::Ask, ask_with_parts("/ask/1", prompt, &[SHARED_PART])),
         4..6 => (Kind::Tell, ask("/tell/1", prompt.min(30_000))),
         6..8 => (Kind::Book, plain("POST", "/book/1")),
         _ => (Kind::Status, plain("GET", "/book/status/1")),
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -22,6 +22,11 @@
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 const LIMIT_CONTACT: Duration = Duration::from_secs(3);
 
+/// Time after the fifth crash under a prompt part in which further requests with it may reach
+/// servers, and how many may later.
+const CRASH_CONTACT: Duration = Duration::from_secs(3);
+const MOST_LATE_CRASHING: usize = 3;
+
 /// Window, ratio and slack of the retry budget in the settings of the deployment.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 const BUDGET_RATIO: f64 = 0.2;
@@ -41,9 +46,31 @@
     findings.extend(check_configuration(history));
     findings.extend(check_limits(history, &runs));
     findings.extend(check_budget(&outcomes, &runs));
+    let part = records.crashing_part.lock().clone().unwrap_or_default();
+    findings.extend(check_crashing_part(history, &runs, &part, records.crash_time(5)));
     findings
 }
 
+/// From some time after the fifth crash, hardly any request with the part that crashes servers reaches
+/// one, at times at which no process was disturbed.
+pub fn check_crashing_part(
+    history: &History,
+    runs: &[Run],
+    part: &str,
+    fifth_crash: Option<Instant>,
+) -> Vec<String> {
+    let Some(fifth_crash) = fifth_crash else { return Vec::new() };
+    let is_late = |r: &&Run| {
+        let was_calm = history.was_calm(None, r.at, r.at);
+        r.at > fifth_crash + CRASH_CONTACT && was_calm && r.parts.iter().any(|p| p == part)
+    };
+    let late = runs.iter().filter(is_late).count();
+    if late <= MOST_LATE_CRASHING {
+        return Vec::new();
+    }
+    vec![format!("crashing part: {late} requests reached servers after the fifth crash")]
+}
+
 fn runs_by_request(runs: &[Run]) -> HashMap<&str, Vec<&Run>> {
     let mut by_request: HashMap<&str, Vec<&Run>> = HashMap::new();
     for run in runs {
--- a/tests/soak/conductor.rs
+++ b/tests/soak/conductor.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::FutureExt;
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -99,6 +100,7 @@
             if self.rng.random_range(0..100) < FAULT_PERCENT / 3 {
                 self.disturb_server().await;
             }
+            self.replace_crashed().await;
             self.undo_until(Instant::now()).await;
             sleep(STEP).await;
         }
@@ -108,6 +110,23 @@
         }
     }
 
+    /// Starts another server for each one that a request has crashed.
+    async fn replace_crashed(&mut self) {
+        let mut at = 0;
+        while at < self.servers.len() {
+            if self.servers[at].crashed().now_or_never().is_none() {
+                at += 1;
+                continue;
+            }
+            let crashed = self.servers.remove(at);
+            self.history.count("crash under a request");
+            self.records.crashes.lock().push((crashed.id.clone(), Instant::now()));
+            let service = if crashed.id.starts_with("engine") { "engines" } else { "orders" };
+            crashed.crash();
+            self.start_server(service).await;
+        }
+    }
+
     fn is_disturbed(&self, target: Target) -> bool {
         self.undo.iter().any(|(_, undo)| match undo {
             Undo::Start(t, _) | Undo::Thaw(t, _) => *t == target,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -105,6 +105,9 @@
     for n in 0..cfg.entries * cfg.callers_per_entry {
         tasks.push(tokio::spawn(callers.clone().call_forever(rng(10 + n as u64), cx.clone())));
     }
+    let part = format!("bad{}", cfg.seed);
+    *conductor.records.crashing_part.lock() = Some(part.clone());
+    tasks.push(tokio::spawn(callers.clone().crash_servers(part, rng(3), operating.clone())));
     conductor.run(cfg.time).await;
     operating.cancel();
     let operator = operating_task.await.unwrap();
