--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -68,17 +68,30 @@
     crashes: Crashes,
     /// When each key was answered without a crash, last.
     answered: HashMap<SuspectKey, Moment>,
-    /// Whether any request was answered without a crash, also one without keys.
+    /// Whether any request was answered without a crash, with or without keys.
     has_answers: bool,
     verdicts: Vec<Verdict>,
-    /// Keys of the verdicts that refuse requests now, without those that were answered.
-    refused: Vec<(Vec<SuspectKey>, Moment)>,
+    /// What the verdicts refuse now.
+    refusals: Vec<Refusal>,
     /// When to judge next.
     judge_at: Option<Moment>,
     /// Changes that other processes do not know yet.
     unreported: Unreported,
 }
 
+/// Requests with all of these keys are refused; they are those of a verdict that were not answered.
+#[derive(Clone, Debug)]
+struct Refusal {
+    keys: Vec<SuspectKey>,
+    until: Moment,
+}
+
+impl Refusal {
+    fn concerns(&self, keys: &[SuspectKey]) -> bool {
+        self.keys.iter().all(|key| keys.contains(key))
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Unreported {
     crashes: Vec<Crash>,
@@ -122,7 +135,7 @@
         if self.answered.len() > MAX_ANSWERED {
             self.drop_oldest_answers();
         }
-        if is_news { self.update_refused(now) } else { Vec::new() }
+        if is_news { self.update_refusals(now) } else { Vec::new() }
     }
 
     /// Applies what another process recorded; `None` if all of it was known.
@@ -146,7 +159,7 @@
         for verdict in report::decode_verdicts(now, report) {
             is_news |= self.add_verdict(verdict);
         }
-        is_news.then(|| self.update_refused(now))
+        is_news.then(|| self.update_refusals(now))
     }
 
     /// When [`Self::judge`] is due; `None` if there is nothing to judge.
@@ -156,15 +169,14 @@
 
     /// Time for which a request with these keys is refused; `None` if it is not.
     pub fn time_left(&self, now: Moment, keys: &[SuspectKey]) -> Option<Duration> {
-        let matches = |refused: &[SuspectKey]| refused.iter().all(|key| keys.contains(key));
-        let matching = self.refused.iter().filter(|(refused, _)| matches(refused));
-        let left = matching.map(|(_, until)| until.saturating_sub(now));
+        let concerning = self.refusals.iter().filter(|refusal| refusal.concerns(keys));
+        let left = concerning.map(|refusal| refusal.until.saturating_sub(now));
         left.max().filter(|left| !left.is_zero())
     }
 
     /// Number of verdicts that refuse requests.
     pub fn refusing_count(&self) -> usize {
-        self.refused.len()
+        self.refusals.len()
     }
 
     /// Whether there is something for [`Self::take_unreported`].
@@ -191,7 +203,7 @@
         self.crashes.expire(now);
         self.answered.retain(|_, at| now.saturating_sub(*at) < ANSWERED_TTL);
         self.verdicts.retain(|v| !v.is_over(now));
-        self.update_refused(now)
+        self.update_refusals(now)
     }
 
     /// Whether a key appears in a crash or a verdict.
@@ -245,7 +257,7 @@
                 break;
             }
         }
-        self.update_refused(now)
+        self.update_refusals(now)
     }
 
     /// Renews verdicts on probation under which an endpoint crashed again.
@@ -262,39 +274,30 @@
         }
     }
 
-    /// Recomputes which keys are refused, and returns what changed.
-    fn update_refused(&mut self, now: Moment) -> Vec<Change> {
+    /// Recomputes what is refused, and returns what changed.
+    fn update_refusals(&mut self, now: Moment) -> Vec<Change> {
         let answered = &self.answered;
-        let mut refused: Vec<(Vec<SuspectKey>, Moment)> = Vec::new();
-        for verdict in &self.verdicts {
+        let build = |verdict: &Verdict| {
             let keys = verdict.suspicious_keys(|key| answered.contains_key(&key));
-            if let Some(left) = verdict.time_left(now)
-                && !keys.is_empty()
-            {
-                refused.push((keys, now + left));
-            }
-        }
-        let before = std::mem::replace(&mut self.refused, refused);
+            let until = now + verdict.time_left(now)?;
+            (!keys.is_empty()).then_some(Refusal { keys, until })
+        };
+        let refusals = self.verdicts.iter().filter_map(build).collect();
+        let before = std::mem::replace(&mut self.refusals, refusals);
         self.describe_changes(now, &before)
     }
 
-    fn describe_changes(&self, now: Moment, before: &[(Vec<SuspectKey>, Moment)]) -> Vec<Change> {
-        let contains = |list: &[(Vec<SuspectKey>, Moment)], keys: &[SuspectKey]| {
-            list.iter().any(|(refused, _)| refused == keys)
-        };
-        let begun = self.refused.iter().filter(|(keys, _)| !contains(before, keys));
-        let begun = begun.map(|(keys, _)| Change::Quarantined {
-            keys: keys.clone(),
-            crashes: self.crashes.iter().filter(|c| c.has_suspect_with(keys)).count(),
+    fn describe_changes(&self, now: Moment, before: &[Refusal]) -> Vec<Change> {
+        let is_new = |r: &&Refusal| !before.iter().any(|earlier| earlier.keys == r.keys);
+        let begun = self.refusals.iter().filter(is_new).map(|r| Change::Quarantined {
+            keys: r.keys.clone(),
+            crashes: self.crashes.iter().filter(|c| c.has_suspect_with(&r.keys)).count(),
         });
-        // A verdict that lost a key still refuses the same requests, and more.
-        let is_narrowed = |keys: &[SuspectKey]| {
-            self.refused.iter().any(|(refused, _)| refused.iter().all(|key| keys.contains(key)))
-        };
-        let ended = before.iter().filter(|(keys, _)| !is_narrowed(keys));
-        let ended = ended.map(|(keys, until)| match *until > now {
-            true => Change::Lifted(keys.clone()),
-            false => Change::OnProbation(keys.clone()),
+        // A refusal that lost a key still concerns the same requests, and more.
+        let is_gone = |r: &&Refusal| !self.refusals.iter().any(|later| later.concerns(&r.keys));
+        let ended = before.iter().filter(is_gone).map(|r| match r.until > now {
+            true => Change::Lifted(r.keys.clone()),
+            false => Change::OnProbation(r.keys.clone()),
         });
         begun.chain(ended).collect()
     }
--- a/src/quarantine/verdict.rs
+++ b/src/quarantine/verdict.rs
@@ -1,7 +1,7 @@
 //! Decides which keys explain crashes, from the crashes and from the keys that were answered.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use super::SuspectKey;
@@ -51,15 +51,17 @@
     }
 }
 
-/// What speaks against one key.
+/// Evidence against one key.
 #[derive(Clone, Debug, Default)]
 struct Evidence {
     /// When the crashes were that the key explains.
     crashes: Vec<Moment>,
+    /// Number of suspects with the key, in all crashes.
     suspects: usize,
 }
 
 impl Evidence {
+    /// Whether the key explains [`MIN_CRASHES`] crashes at different moments.
     fn is_enough(&self) -> bool {
         let mut crashes = self.crashes.clone();
         crashes.sort_unstable();
@@ -77,12 +79,12 @@
 
 /// Finds keys that explain crashes which no verdict in `known` explains; `None` if there are none.
 ///
-/// A key that was answered without a crash explains nothing, and no key explains a crash that came
-/// together with one without the key. Of the others the one with the most crashes is blamed; of
-/// those with equally many the one that the fewest requests have, because a key that many requests
-/// share is a suspect by chance more often. A key that all suspects have is only blamed if other
-/// requests were answered (`is_serving`): otherwise the endpoints may crash under any request. Keys that all suspects with the blamed key share cannot
-/// be told apart from it, so only requests with all of them are blamed.
+/// A key that was answered without a crash explains nothing. Of the others the one with the most
+/// crashes is blamed; of those with equally many the one that the fewest requests have, because a
+/// key that many requests share is a suspect by chance more often. A key that all suspects have is
+/// only blamed if other requests were answered (`is_serving`): otherwise the endpoints may crash
+/// under any request. Keys that all suspects with the blamed key share cannot be told apart from
+/// it, so only requests with all of them are blamed.
 pub(super) fn find_culprit(
     crashes: &[&Crash],
     known: &[Vec<SuspectKey>],
@@ -91,29 +93,45 @@
 ) -> Option<Vec<SuspectKey>> {
     let is_open = |c: &&&Crash| !known.iter().any(|keys| c.has_suspect_with(keys));
     let open: Vec<&Crash> = crashes.iter().filter(is_open).copied().collect();
-    let mut evidence: HashMap<SuspectKey, Evidence> = HashMap::new();
-    for crash in &open {
-        let mut counted: Vec<SuspectKey> = Vec::new();
-        for key in crash.suspects.iter().flatten().filter(|key| !was_answered(**key)) {
-            let of_key = evidence.entry(*key).or_default();
-            of_key.suspects += 1;
-            if !counted.contains(key) {
-                counted.push(*key);
-                if !coincides_without(crashes, crash, *key) {
-                    of_key.crashes.push(crash.at);
-                }
-            }
-        }
-    }
     let suspect_count: usize = open.iter().map(|c| c.suspects.len()).sum();
     let differs = |e: &Evidence| is_serving || e.suspects < suspect_count;
+    let evidence = collect_evidence(crashes, &open, &was_answered);
     let enough = evidence.into_iter().filter(|(_, e)| e.is_enough() && differs(e));
     let (blamed, _) = enough.max_by_key(|(key, e)| (e.crashes.len(), Reverse(e.suspects), *key))?;
-    let suspects = open.iter().flat_map(|c| &c.suspects).filter(|s| s.contains(&blamed));
-    let shared = suspects.cloned().reduce(|shared, suspect| {
+    let mut keys = keys_shared_with(&open, blamed);
+    keys.retain(|key| !was_answered(*key));
+    Some(keys)
+}
+
+/// Evidence in the crashes `open` against each key that was not answered. A key explains no crash
+/// that came together with another one, of all `crashes`, without the key.
+fn collect_evidence(
+    crashes: &[&Crash],
+    open: &[&Crash],
+    was_answered: impl Fn(SuspectKey) -> bool,
+) -> HashMap<SuspectKey, Evidence> {
+    let mut evidence: HashMap<SuspectKey, Evidence> = HashMap::new();
+    for crash in open {
+        let suspects = crash.suspects.iter().flatten();
+        let keys: Vec<SuspectKey> = suspects.copied().filter(|key| !was_answered(*key)).collect();
+        for key in &keys {
+            evidence.entry(*key).or_default().suspects += 1;
+        }
+        let distinct: HashSet<SuspectKey> = keys.into_iter().collect();
+        for key in distinct.into_iter().filter(|key| !coincides_without(crashes, crash, *key)) {
+            evidence.entry(key).or_default().crashes.push(crash.at);
+        }
+    }
+    evidence
+}
+
+/// The keys, `key` among them, that all suspects with `key` have.
+fn keys_shared_with(crashes: &[&Crash], key: SuspectKey) -> Vec<SuspectKey> {
+    let suspects = crashes.iter().flat_map(|c| &c.suspects).filter(|s| s.contains(&key));
+    let in_both = |shared: Vec<SuspectKey>, suspect: Vec<SuspectKey>| {
         shared.into_iter().filter(|key| suspect.contains(key)).collect()
-    })?;
-    Some(shared.into_iter().filter(|key| !was_answered(*key)).collect())
+    };
+    suspects.cloned().reduce(in_both).unwrap_or_default()
 }
 
 /// Whether another crash without the key came at the same time as `crash`.
