--- a/examples/heavy.rs
+++ b/examples/heavy.rs
@@ -9,7 +9,7 @@
 use bitternlead::gateway::policy::Policy;
 
 use crate::emulator::fleet::{Outcome, Summary, run_policy, summarize};
-use crate::emulator::load::{Preset, grown, small, with_burst};
+use crate::emulator::load::{Preset, grown, large, scaled, small, with_burst};
 use crate::emulator::router::Router;
 
 /// Compare placement policies on emulated engines.
@@ -128,7 +128,9 @@
     burst.name = "small burst";
     let mut grown_burst = with_burst(grown(), 1.5);
     grown_burst.name = "grown burst";
-    let presets: Vec<Preset> = vec![small(), burst, grown(), grown_burst];
+    let mut part = scaled(large(), 1.0 / 6.6);
+    part.name = "large part";
+    let presets: Vec<Preset> = vec![small(), burst, grown(), grown_burst, large(), part];
     let policies = select_policies(options.without.as_deref())?;
     println!(
         "| load | policy | whole | worst two windows | short | medium | long | refused | abandoned | largest tenth | fifth below | range |"
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -6,6 +6,7 @@
 use slotmap::{SlotMap, new_key_type};
 use smol_str::SmolStr;
 
+use super::flight_codec::{SendNumber, decode_flight, encode_flights};
 use crate::directory::EndpointId;
 use crate::ids::Moment;
 use crate::wire;
@@ -52,14 +53,17 @@
     pub late: bool,
 }
 
-/// Number of a send within one run of its entry; it identifies the send in reports.
-type SendNumber = u32;
-
 struct LocalSend {
     number: SendNumber,
     send: InFlightSend,
 }
 
+impl LocalSend {
+    fn numbered(&self) -> (SendNumber, &InFlightSend) {
+        (self.number, &self.send)
+    }
+}
+
 struct RemoteLoad {
     incarnation: u64,
     seq: u64,
@@ -135,7 +139,7 @@
 
     /// Encodes all sends of this entry for other entries.
     pub fn encode_local(&self, now: Moment) -> Vec<wire::Flight> {
-        self.local.values().map(|local| encode(local, now)).collect()
+        encode_flights(self.local.values().map(LocalSend::numbered).collect(), now)
     }
 
     /// Takes the changes since the last call, encoded for other entries.
@@ -144,7 +148,7 @@
         changed.sort_unstable();
         changed.dedup();
         let existing = changed.iter().filter_map(|key| self.local.get(*key));
-        let flights = existing.map(|local| encode(local, now)).collect();
+        let flights = encode_flights(existing.map(LocalSend::numbered).collect(), now);
         LoadChanges { flights, ended: std::mem::take(&mut self.ended) }
     }
 
@@ -173,7 +177,7 @@
                 0 => SendNumber::MAX - index as SendNumber,
                 number => number,
             };
-            sends.insert(number, decode(flight, now));
+            sends.extend(decode_flight(flight, number, now));
         }
         let remote = RemoteLoad {
             incarnation: load.incarnation,
@@ -202,43 +206,3 @@
         self.local.values().map(|local| &local.send).chain(remote_sends)
     }
 }
-
-fn encode(local: &LocalSend, now: Moment) -> wire::Flight {
-    let f = &local.send;
-    wire::Flight {
-        number: local.number,
-        endpoint: f.endpoint.to_string(),
-        prompt_tokens: f.prompt_tokens as u32,
-        output_tokens: f.output_tokens as u32,
-        read_tokens: f.prefill_tokens as u32,
-        read_ms: f.prefill_ms as u32,
-        age_ms: now.saturating_sub(f.sent_at).as_millis() as u32,
-        written_tokens: f.written_tokens as u32,
-        pause_limit_ms: f.pause_limit_ms as u32,
-        held_tokens: f.held_tokens as u32,
-        helps: f.is_helper,
-        late: f.late,
-        request: f.request_hash,
-        shared: f.shared,
-        objective_ms: f.objective_ms as u32,
-    }
-}
-
-fn decode(f: &wire::Flight, now: Moment) -> InFlightSend {
-    InFlightSend {
-        endpoint: EndpointId::new(&f.endpoint),
-        prompt_tokens: u64::from(f.prompt_tokens),
-        output_tokens: u64::from(f.output_tokens),
-        prefill_tokens: u64::from(f.read_tokens),
-        prefill_ms: f64::from(f.read_ms),
-        sent_at: now.saturating_sub(Duration::from_millis(u64::from(f.age_ms))),
-        written_tokens: u64::from(f.written_tokens),
-        pause_limit_ms: f64::from(f.pause_limit_ms),
-        held_tokens: u64::from(f.held_tokens),
-        is_helper: f.helps,
-        late: f.late,
-        request_hash: f.request,
-        shared: f.shared,
-        objective_ms: f64::from(f.objective_ms),
-    }
-}
--- a/src/gateway/load_exchange.rs
+++ b/src/gateway/load_exchange.rs
@@ -2,7 +2,7 @@
 //!
 //! Each datagram carries the changes since the previous one, so that its size does not grow with
 //! the number of sends in flight. A receiver that misses one asks the sender for all its sends. The
-//! rate is bounded: the more peers there are, the more changes are combined into one datagram.
+//! mean rate is bounded: under more changes than it carries, changes are combined into one datagram.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -25,6 +25,10 @@
 /// Delay in which further changes are combined into one datagram.
 const COALESCE_DELAY: Duration = Duration::from_millis(2);
 
+/// Time of sending at the mean rate that may be sent at once. A request causes three reports to
+/// every other entry; waiting with each of them for the mean rate would make all loads old.
+const MAX_BURST_TIME: Duration = Duration::from_millis(300);
+
 /// Interval at which a datagram is sent even if nothing changed, so that a lost one is noticed and
 /// the load does not expire.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
@@ -125,7 +129,7 @@
     }
 }
 
-/// Spaces datagrams so that their mean rate stays within a bound.
+/// Bounds the mean rate of datagrams, and the bytes that are sent at once.
 ///
 /// ```
 /// use std::time::Duration;
@@ -133,31 +137,33 @@
 ///
 /// let mut pacer = SendPacer::new(10_000.0);
 /// let now = Duration::from_secs(5);
-/// assert_eq!(pacer.delay(now), Duration::from_millis(2));
+/// pacer.record(now, 3_000);
+/// assert_eq!(pacer.delay(now), Duration::from_millis(2), "a burst is sent at once");
 /// pacer.record(now, 1_000);
 /// assert_eq!(pacer.delay(now), Duration::from_millis(100));
 /// ```
 #[derive(Clone, Debug)]
 pub struct SendPacer {
     bytes_per_s: f64,
-    next_at: Moment,
+    /// Time at which the mean rate would be reached with what was sent so far.
+    paid_at: Moment,
 }
 
 impl SendPacer {
     /// Builds a pacer for this rate in bytes per second.
     pub fn new(bytes_per_s: f64) -> Self {
-        Self { bytes_per_s, next_at: Moment::ZERO }
+        Self { bytes_per_s, paid_at: Moment::ZERO }
     }
 
     /// Time until the next datagrams may be sent.
     pub fn delay(&self, now: Moment) -> Duration {
-        self.next_at.saturating_sub(now).max(COALESCE_DELAY)
+        self.paid_at.saturating_sub(now).saturating_sub(MAX_BURST_TIME).max(COALESCE_DELAY)
     }
 
     /// Records that this many bytes were sent.
     pub fn record(&mut self, now: Moment, bytes: usize) {
         let busy = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s.max(1.0));
-        self.next_at = self.next_at.max(now) + busy;
+        self.paid_at = self.paid_at.max(now) + busy;
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod engine_sample;
 pub mod engine_state;
 pub mod events;
+pub mod flight_codec;
 pub mod handler;
 pub mod health;
 pub mod in_flight;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1112,6 +1112,10 @@
     /// Number of the flight within the incarnation of its entry.
     #[prost(uint32, tag = "15")]
     pub number: u32,
+    /// Endpoints that prefill a part of the prompt and hold no KV cache of it. Their flights have the
+    /// numbers after this one and differ from it only in the endpoint.
+    #[prost(string, repeated, tag = "16")]
+    pub helpers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// State of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/tests/emulator/fleet.rs
+++ b/tests/emulator/fleet.rs
@@ -9,10 +9,12 @@
 use bitternlead::gateway::engine_model::EngineModel;
 use bitternlead::gateway::engine_state::build_states;
 use bitternlead::gateway::in_flight::{InFlightSends, SendKey};
+use bitternlead::gateway::load_exchange::SendPacer;
 use bitternlead::gateway::moving_average::MovingAverage;
 use bitternlead::gateway::placement::{Decision, PlacementRequest, Plan};
 use bitternlead::gateway::policy::Policy;
 use bitternlead::wire::SharedLoad;
+use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -23,9 +25,8 @@
 /// One-way latency between an entry and an engine or another entry, in milliseconds.
 const LATENCY_MS: f64 = 0.7;
 
-/// Delay in which an entry combines changes before it sends its load to other entries, in
-/// milliseconds.
-const COALESCE_DELAY_MS: f64 = 2.0;
+/// Bytes that the network adds to each datagram.
+const DATAGRAM_OVERHEAD_BYTES: usize = 28;
 
 /// Length of the windows in which value is measured, in milliseconds; the two worst are reported.
 const WINDOW_MS: f64 = 3_000.0;
@@ -125,6 +126,7 @@
     in_flight: InFlightSends,
     seq: u64,
     load_pending: bool,
+    pacer: SendPacer,
     smoothed_backlog: MovingAverage,
 }
 
@@ -172,6 +174,7 @@
             in_flight: InFlightSends::default(),
             seq: 0,
             load_pending: false,
+            pacer: SendPacer::new(preset.load_bytes_per_s),
             smoothed_backlog: MovingAverage::default(),
         };
         let outcome = |a: &Arrival| Outcome {
@@ -441,7 +444,8 @@
             return;
         }
         if !std::mem::replace(&mut self.entries[entry].load_pending, true) {
-            self.schedule(self.now + COALESCE_DELAY_MS, Event::SendLoad { entry });
+            let delay = self.entries[entry].pacer.delay(self.moment());
+            self.schedule(self.now + delay.as_secs_f64() * 1000.0, Event::SendLoad { entry });
         }
     }
 
@@ -460,6 +464,8 @@
             partial: true,
             ..SharedLoad::default()
         };
+        let bytes = (load.encoded_len() + DATAGRAM_OVERHEAD_BYTES) * (self.entries.len() - 1);
+        self.entries[entry].pacer.record(now, bytes);
         for other in (0..self.entries.len()).filter(|o| *o != entry) {
             let event = Event::ReceiveLoad { entry: other, load: Box::new(load.clone()) };
             self.schedule(self.now + LATENCY_MS, event);
--- a/tests/emulator/load.rs
+++ b/tests/emulator/load.rs
@@ -42,6 +42,8 @@
     pub engines: usize,
     /// Number of entries.
     pub entries: usize,
+    /// Rate up to which an entry sends its load to other entries, in bytes per second.
+    pub load_bytes_per_s: f64,
     /// Slots of each engine.
     pub slots: u32,
     /// KV cache of each engine in tokens.
@@ -94,6 +96,7 @@
         name: "small",
         engines: 14,
         entries: 7,
+        load_bytes_per_s: 12.5e6,
         slots: 16,
         memory: 450_000,
         stride: 46,
@@ -112,6 +115,7 @@
     preset.name = "grown";
     preset.engines = 45;
     preset.entries = 26;
+    preset.load_bytes_per_s = 250e3;
     preset.slots = 12;
     preset.memory = 382_500;
     preset.stride = 52;
@@ -130,6 +134,41 @@
     preset
 }
 
+/// The deployment with 112 engines behind 105 entries, each of which gets some two requests a second.
+pub fn large() -> Preset {
+    let mut preset = grown();
+    preset.name = "large";
+    preset.engines = 112;
+    preset.entries = 105;
+    preset.slots = 10;
+    preset.memory = 450_000;
+    preset.stride = 73;
+    let [short, medium, long] = &mut preset.kinds;
+    short.per_s = 162.0;
+    short.events = (24.3, 0.7, 60.8);
+    short.pause_limit_ms = 250.0;
+    medium.per_s = 17.3;
+    medium.events = (14.6, 0.6, 36.5);
+    medium.pause_limit_ms = 600.0;
+    medium.value = (2.3, 0.58);
+    long.per_s = 3.97;
+    long.events = (12.2, 0.5, 30.4);
+    long.pause_limit_ms = 1_000.0;
+    long.value = (26.0, 6.6);
+    preset
+}
+
+/// The same engines and kinds of request at a share of the size: `part` of the engines, entries and
+/// arrivals.
+pub fn scaled(mut preset: Preset, part: f64) -> Preset {
+    let share = |count: usize| (count as f64 * part).round() as usize;
+    (preset.engines, preset.entries) = (share(preset.engines), share(preset.entries));
+    for kind in &mut preset.kinds {
+        kind.per_s *= part;
+    }
+    preset
+}
+
 /// Multiplies all arrival rates of the two middle phases by `times`.
 pub fn with_burst(mut preset: Preset, times: f64) -> Preset {
     for phase in &mut preset.phases[2..4] {
--- a/tests/load_exchange.rs
+++ b/tests/load_exchange.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bitternlead::gateway::in_flight::{InFlightSend, InFlightSends, ReportOutcome, SendKey};
+use bitternlead::gateway::in_flight::{
+    InFlightSend, InFlightSends, LoadChanges, ReportOutcome, SendKey,
+};
 use bitternlead::gateway::load_exchange::{LoadPeers, SendPacer};
 use bitternlead::wire::SharedLoad;
 use proptest::prelude::*;
@@ -178,3 +180,65 @@
     let rate = bytes as f64 / 10.0;
     assert!(rate <= bound, "{rate:.0} bytes/s");
 }
+
+/// A long prompt at 17 engines, told to 104 other entries over a link of 20 Mbit/s.
+#[test]
+fn others_learn_of_a_send_within_milliseconds_after_a_prompt_that_many_engines_share() {
+    const LINK_BYTES_PER_S: f64 = 20e6 / 8.0;
+    let peers = LoadPeers::default();
+    let all_entries: Vec<u8> = (1..=105).collect();
+    peers.replace(address(200), &listed(&all_entries), address(1));
+    let mut own = InFlightSends::default();
+    own.insert(send(1));
+    peers.build_loads(&template(), &own.take_changes(ms(1_000)), &own.encode_local(ms(1_000)));
+    let mut pacer = SendPacer::new(LINK_BYTES_PER_S * 0.1);
+    for send in shared_prompt(2) {
+        own.insert(send);
+    }
+    let changes = own.take_changes(ms(2_000));
+    let loads = peers.build_loads(&template(), &changes, &[]);
+    let bytes: usize = loads.iter().map(|(_, l)| l.encoded_len() + 28).sum();
+    pacer.record(ms(2_000), bytes);
+    assert!(pacer.delay(ms(2_020)) <= ms(10), "{:?}", pacer.delay(ms(2_020)));
+    let on_link = bytes as f64 / LINK_BYTES_PER_S;
+    assert!(on_link <= 0.02, "the report takes {on_link:.3} s of the link");
+}
+
+fn shared_prompt(request_hash: u64) -> Vec<InFlightSend> {
+    let part = |number: usize| InFlightSend {
+        endpoint: format!("i-3f7a91c2{number:02}").into(),
+        request_hash,
+        prefill_tokens: 30_000,
+        is_helper: number > 0,
+        shared: true,
+        held_tokens: if number == 3 { 9_000 } else { 0 },
+        ..send(0)
+    };
+    (0..17).map(part).collect()
+}
+
+#[test]
+fn the_parts_of_a_shared_prompt_arrive_as_they_were_sent_and_end_together() {
+    let (mut own, mut other) = (InFlightSends::default(), InFlightSends::default());
+    let keys: Vec<SendKey> = shared_prompt(7).into_iter().map(|s| own.insert(s)).collect();
+    own.insert(send(8));
+    let report = |own: &mut InFlightSends, other: &mut InFlightSends, seq: u64| {
+        let LoadChanges { flights, ended } = own.take_changes(ms(5));
+        let partial = seq > 1;
+        other.apply_report(ms(5), SharedLoad { seq, partial, flights, ended, ..template() })
+    };
+    report(&mut own, &mut other, 1);
+    let known = |sends: &InFlightSends| {
+        let describe = |f: &InFlightSend| (f.endpoint.clone(), f.is_helper, f.held_tokens);
+        let mut all: Vec<_> = sends.all().map(describe).collect();
+        all.sort();
+        all
+    };
+    assert_eq!(known(&other).len(), 18);
+    assert_eq!(known(&own), known(&other));
+    for key in keys {
+        own.remove(key);
+    }
+    assert_eq!(report(&mut own, &mut other, 2), ReportOutcome::Applied);
+    assert_eq!(known(&own), known(&other));
+}
