Count the first decoding pass of those ahead in the predicted first token

Cause: at an engine that decodes nothing yet, the prediction was the queued prefill alone. Change: the prediction adds that pass if a stream is in prefill.

--- a/src/gateway/engine_state.rs
+++ b/src/gateway/engine_state.rs
@@ -206,7 +206,8 @@
     /// Predicted time until the first token of a new prefill, in milliseconds.
     pub(super) fn first_token_ms(&self, model: &EngineModel, new: &NewPrefill) -> f64 {
         let prefill_ms = if self.decoding.is_empty() {
-            let ahead_ms = if new.shared { 0.0 } else { self.backlog_ms() };
+            let ahead_ms =
+                if new.shared { 0.0 } else { self.backlog_ms() + self.first_pass_ms(model) };
             ahead_ms + new.prefill_ms
         } else {
             let queued_tokens: f64 = self.queued().map(|r| r.tokens).sum();
@@ -219,6 +220,15 @@
         (prefill_ms + self.slot_wait_ms(model)) * self.slowness + self.round_trip_ms
     }
 
+    /// Decoding time of the pass that the first of the streams in prefill starts. The prompts behind
+    /// it are prefilled in that pass or a later one.
+    fn first_pass_ms(&self, model: &EngineModel) -> f64 {
+        match self.prefilling.first() {
+            Some(first) => stride_ms_for(model, std::slice::from_ref(first)),
+            None => 0.0,
+        }
+    }
+
     /// Expected wait for a slot, in milliseconds. One of the last free slots may be taken by a
     /// request that is not known here yet.
     fn slot_wait_ms(&self, model: &EngineModel) -> f64 {
