Drop unreported answers once they concern no crash

Cause: a control replica applies reports of crashes and notes which answered keys the next report has to name, but never takes a report, so the list grew by 8 bytes a key until the process ended. Change: with the crashes and verdicts that name them, expiry drops the keys from the list.

--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -203,6 +203,7 @@
         self.crashes.expire(now);
         self.answered.retain(|_, at| now.saturating_sub(*at) < ANSWERED_TTL);
         self.verdicts.retain(|v| !v.is_over(now));
+        self.drop_unmentioned_answers();
         self.update_refusals(now)
     }
 
@@ -211,6 +212,14 @@
         self.crashes.mention(key) || self.verdicts.iter().any(|v| v.keys.contains(&key))
     }
 
+    /// Drops unreported answers of keys that concern no crash any more. A process that only passes
+    /// reports on never takes them.
+    fn drop_unmentioned_answers(&mut self) {
+        let mut answered = std::mem::take(&mut self.unreported.answered);
+        answered.retain(|key| self.is_mentioned(*key));
+        self.unreported.answered = answered;
+    }
+
     /// Makes the next report tell which of these keys this process knows to be answered.
     fn report_answers(&mut self, keys: &[SuspectKey]) {
         let known = keys.iter().filter(|key| self.answered.contains_key(key));
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -446,3 +446,24 @@
     let bytes = prost::Message::encoded_len(&quarantine.report_all(now));
     assert!(bytes < 256 * 1024, "{bytes} bytes");
 }
+
+/// A control replica passes reports on and never takes what is unreported.
+#[test]
+fn a_process_that_only_applies_reports_keeps_no_answers_of_old_crashes() {
+    let at = Duration::from_secs;
+    let (mut entry, mut replica) = (Quarantine::default(), Quarantine::default());
+    for round in 0..5u64 {
+        let now = at(1_000 + round * 700);
+        let keys = vec![SuspectKey::from(round + 1)];
+        let crash = |endpoint| Crash { endpoint, at: now, suspects: vec![keys.clone()] };
+        entry.record_crash(now, crash(2 * round + 1));
+        entry.record_answer(now, &keys);
+        replica.apply_report(now, &entry.take_unreported(now));
+        entry.record_crash(now, crash(2 * round + 2));
+        replica.apply_report(now, &entry.take_unreported(now));
+        assert!(replica.has_unreported());
+        entry.expire(now + at(650));
+        replica.expire(now + at(650));
+        assert!(!replica.has_unreported(), "after round {round}");
+    }
+}
