--- a/src/gateway/engine_state.rs
+++ b/src/gateway/engine_state.rs
@@ -220,13 +220,11 @@
         (prefill_ms + self.slot_wait_ms(model)) * self.slowness + self.round_trip_ms
     }
 
-    /// Decoding time of the pass that the first of the streams in prefill starts. The prompts behind
-    /// it are prefilled in that pass or a later one.
+    /// Decoding time of the pass that begins with the first event of a stream in prefill; zero if
+    /// there is none. The prompts behind that stream are prefilled in this pass or a later one.
     fn first_pass_ms(&self, model: &EngineModel) -> f64 {
-        match self.prefilling.first() {
-            Some(first) => stride_ms_for(model, std::slice::from_ref(first)),
-            None => 0.0,
-        }
+        let context_tokens = self.prefilling.iter().map(|s| s.context_tokens).max();
+        context_tokens.map_or(0.0, |tokens| model.stride_ms(1, tokens))
     }
 
     /// Expected wait for a slot, in milliseconds. One of the last free slots may be taken by a
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -17,7 +17,7 @@
 use crate::ids::Moment;
 
 /// Target number of streams on each engine reserved for short prompts, as a fraction of its slots.
-const SHORT_OCCUPANCY_SHARE: f64 = 0.7;
+const SHORT_OCCUPANCY_SHARE: f64 = 0.5;
 
 /// Fraction of the objective within which the first token has to be predicted for a plan on the
 /// preferred engines to be taken without looking at the others.
@@ -209,7 +209,7 @@
     let admission = match (is_short, late) {
         (true, false) => Admission::Place,
         (true, true) => {
-            let Some(primary) = emptiest_engine(model, engines, req) else {
+            let Some(primary) = emptiest_engine(policy, model, engines, req) else {
                 return Decision::TooLarge;
             };
             let admission = admit_late_short(policy, model, &engines[primary], req);
@@ -227,8 +227,9 @@
     }
 }
 
-/// Finds the cheapest plan on a sample of the engines for prompts of this length, on all of these,
-/// or on all engines, whichever is the first on which the prompt is safely in time.
+/// Finds the cheapest plan on the first of these groups of engines on which the prompt is in time:
+/// a sample of the engines for prompts of this length, a sample of all, all engines for prompts of
+/// this length, all engines.
 fn choose_plan(
     policy: &Policy,
     model: &EngineModel,
@@ -240,10 +241,15 @@
     let search = PlanSearch { policy, model, engines, req };
     let is_safe = |plan: &Plan| plan.first_token_ms <= req.objective_ms * SAFE_OBJECTIVE_SHARE;
     if policy.engine_samples && is_short && !is_worth_splitting(model, req.prompt_tokens) {
-        let sample = sample_engines(engines, short_engines, req.request_hash);
-        if let Some((_, plan)) = search.best_plan(&sample)
-            && is_safe(&plan)
-        {
+        let best_of_sample = |count: usize| {
+            let sample = sample_engines(engines, count, req.request_hash);
+            search.best_plan(&sample).map(|(_, plan)| plan)
+        };
+        if let Some(plan) = best_of_sample(short_engines).filter(is_safe) {
+            return Some(plan);
+        }
+        let is_in_time = |plan: &Plan| plan.first_token_ms <= req.objective_ms;
+        if let Some(plan) = best_of_sample(engines.len()).filter(is_in_time) {
             return Some(plan);
         }
     }
@@ -259,15 +265,25 @@
     cheapest.map(|(_, plan)| plan)
 }
 
-/// Index of the engine with the fewest requests among those with enough memory.
+/// Index of the engine with the fewest requests among those with enough memory, of a sample if that
+/// has one with a free slot.
 fn emptiest_engine(
+    policy: &Policy,
     model: &EngineModel,
     engines: &[EngineState],
     req: &PlacementRequest,
 ) -> Option<usize> {
-    let with_memory =
-        (0..engines.len()).filter(|index| engines[*index].fits(model, req.required_tokens()));
-    with_memory.min_by_key(|index| engines[*index].request_count)
+    let emptiest_of = |indices: Vec<usize>| {
+        let fits = |index: &usize| engines[*index].fits(model, req.required_tokens());
+        indices.into_iter().filter(fits).min_by_key(|index| engines[*index].request_count)
+    };
+    if policy.engine_samples
+        && let Some(index) = emptiest_of(sample_engines(engines, engines.len(), req.request_hash))
+        && engines[index].request_count < model.slots as usize
+    {
+        return Some(index);
+    }
+    emptiest_of((0..engines.len()).collect())
 }
 
 /// Number of engines, counted from the start of the list, reserved for short prompts.
--- a/tests/emulator/fleet.rs
+++ b/tests/emulator/fleet.rs
@@ -22,7 +22,7 @@
 use super::load::{Arrival, Kind, Preset, draw};
 use super::router::Router;
 
-/// One-way latency between an entry and an engine or another entry, in milliseconds.
+/// One-way latency between an entry and an engine, in milliseconds.
 const LATENCY_MS: f64 = 0.7;
 
 /// Bytes that the network adds to each datagram.
@@ -468,7 +468,7 @@
         self.entries[entry].pacer.record(now, bytes);
         for other in (0..self.entries.len()).filter(|o| *o != entry) {
             let event = Event::ReceiveLoad { entry: other, load: Box::new(load.clone()) };
-            self.schedule(self.now + LATENCY_MS, event);
+            self.schedule(self.now + self.preset.load_latency_ms, event);
         }
     }
 }
--- a/tests/emulator/load.rs
+++ b/tests/emulator/load.rs
@@ -44,6 +44,8 @@
     pub entries: usize,
     /// Rate up to which an entry sends its load to other entries, in bytes per second.
     pub load_bytes_per_s: f64,
+    /// Time in which a report reaches another entry and is applied there, in milliseconds.
+    pub load_latency_ms: f64,
     /// Slots of each engine.
     pub slots: u32,
     /// KV cache of each engine in tokens.
@@ -97,6 +99,7 @@
         engines: 14,
         entries: 7,
         load_bytes_per_s: 12.5e6,
+        load_latency_ms: 0.7,
         slots: 16,
         memory: 450_000,
         stride: 46,
@@ -138,6 +141,7 @@
 pub fn large() -> Preset {
     let mut preset = grown();
     preset.name = "large";
+    preset.load_latency_ms = 6.0;
     preset.engines = 112;
     preset.entries = 105;
     preset.slots = 10;
--- a/tests/heavy_days.rs
+++ b/tests/heavy_days.rs
@@ -5,7 +5,7 @@
 
 use bitternlead::gateway::policy::Policy;
 use emulator::fleet::{Summary, run_load, run_policy, summarize};
-use emulator::load::{Preset, shortened, small, with_burst};
+use emulator::load::{Preset, large, scaled, shortened, small, with_burst};
 use emulator::router::Router;
 
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -98,3 +98,20 @@
     assert!(mean(&own, |f| f.in_time[0]) > mean(&blind, |f| f.in_time[0]));
     assert!(mean(&own, |f| f.worst) > mean(&blind, |f| f.worst));
 }
+
+/// 105 entries before 112 engines, each of which gets two requests a second: what one entry sends is
+/// known to the others only after several of them have decided.
+#[test]
+fn short_requests_are_in_time_as_often_on_a_large_fleet_as_on_a_part_of_it() {
+    let fleet = shortened(large(), 0.1);
+    let in_time = |preset: &Preset| mean(&runs_of(preset), |f| f.in_time[0]);
+    let (whole, part) = (in_time(&fleet), in_time(&scaled(fleet.clone(), 1.0 / 6.6)));
+    assert!(whole >= part - 0.04, "{whole:.3} on the whole fleet, {part:.3} on a part of it");
+}
+
+#[test]
+fn samples_of_engines_keep_entries_of_a_large_fleet_from_choosing_the_same_one() {
+    let fleet = shortened(large(), 0.1);
+    let (own, without) = (runs_of(&fleet), runs_without("engine-samples", &fleet));
+    assert!(mean(&own, |f| f.in_time[0]) > mean(&without, |f| f.in_time[0]));
+}
