Count prefills that ended in what engines still have to do

Cause: the work left at an engine was estimated from the sends in flight alone. The time that it had spent on prompts which were done by then was taken off those that had waited behind them, so engines with up to a second of work seemed idle. Change: each entry keeps ended prefills of all entries for 4 s, bounded, and the replay of an engine's queue takes them into account. No further bytes are sent.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -294,7 +294,8 @@
         let in_flight = self.gateway.in_flight.lock();
         let health = self.gateway.health.lock();
         let ids = candidates.iter().map(|e| &e.id);
-        let mut states = build_states(&model, now, ids, in_flight.all());
+        let sends = in_flight.all().chain(in_flight.ended_prefills());
+        let mut states = build_states(&model, now, ids, sends);
         let (same_zone_ms, cross_zone_ms) = ROUND_TRIPS_MS;
         for (state, e) in states.iter_mut().zip(candidates) {
             if self.gateway.cfg.policy.health_estimates {
--- a/src/gateway/engine_state.rs
+++ b/src/gateway/engine_state.rs
@@ -118,7 +118,8 @@
 }
 
 impl EngineState {
-    /// Derives the state of an engine from the sends in flight there.
+    /// Derives the state of an engine from the sends in flight there, and from the prefills that
+    /// ended there lately.
     pub fn from_sends(
         id: EndpointId,
         model: &EngineModel,
@@ -127,7 +128,7 @@
     ) -> Self {
         let mut state = Self { id, slowness: 1.0, ..Self::default() };
         let mut awaiting_prefill: Vec<&InFlightSend> = Vec::new();
-        for f in sends {
+        for f in sends.iter().filter(|f| f.prefill_ended_at.is_none()) {
             state.memory_used_tokens += f.held_tokens;
             let stream = StreamState {
                 context_tokens: f.prompt_tokens + f.written_tokens,
@@ -150,6 +151,11 @@
                 state.request_count += 1;
             }
         }
+        if let Some(oldest_at) = awaiting_prefill.iter().map(|f| f.sent_at).min() {
+            let has_delayed =
+                |f: &&&InFlightSend| f.prefill_ended_at.is_some_and(|at| at > oldest_at);
+            awaiting_prefill.extend(sends.iter().filter(has_delayed));
+        }
         state.add_pending(model, now, awaiting_prefill);
         state
     }
@@ -160,7 +166,7 @@
         now: Moment,
         mut awaiting_prefill: Vec<&InFlightSend>,
     ) {
-        awaiting_prefill.sort_by_key(|f| f.sent_at);
+        awaiting_prefill.sort_by_key(|f| (f.sent_at, f.request_hash, f.prefill_ended_at));
         let steps_ms = (!self.decoding.is_empty()).then(|| self.stride_ms(model));
         let replayed = replay(model, now, steps_ms, &awaiting_prefill);
         self.pass_remaining_ms = replayed.pass_remaining_ms;
@@ -344,7 +350,8 @@
     model.stride_ms(decoding.len(), decoding.iter().map(|s| s.context_tokens).sum())
 }
 
-/// Derives the states of the listed engines from all sends in flight.
+/// Derives the states of the listed engines from all sends in flight and the prefills that ended
+/// lately.
 pub fn build_states<'a>(
     model: &EngineModel,
     now: Moment,
--- a/src/gateway/flight_codec.rs
+++ b/src/gateway/flight_codec.rs
@@ -100,5 +100,6 @@
         request_hash: f.request,
         shared: f.shared,
         objective_ms: f64::from(f.objective_ms),
+        prefill_ended_at: None,
     }
 }
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -6,6 +6,7 @@
 use slotmap::{SlotMap, new_key_type};
 use smol_str::SmolStr;
 
+use super::ended_prefills::EndedPrefills;
 use super::flight_codec::{SendNumber, decode_flight, encode_flights};
 use crate::directory::EndpointId;
 use crate::ids::Moment;
@@ -51,6 +52,8 @@
     pub objective_ms: f64,
     /// Whether the request already missed its objective and is queued behind others.
     pub late: bool,
+    /// When the prefill ended; `None` while the send is in flight.
+    pub prefill_ended_at: Option<Moment>,
 }
 
 struct LocalSend {
@@ -103,6 +106,7 @@
     /// Sends of this entry that ended since the last report.
     ended: Vec<SendNumber>,
     remote: HashMap<SmolStr, RemoteLoad>,
+    ended_prefills: EndedPrefills,
 }
 
 impl InFlightSends {
@@ -115,12 +119,26 @@
     }
 
     /// Removes a send of this entry.
-    pub fn remove(&mut self, key: SendKey) -> Option<InFlightSend> {
+    pub fn remove(&mut self, now: Moment, key: SendKey) -> Option<InFlightSend> {
         let LocalSend { number, send } = self.local.remove(key)?;
         self.ended.push(number);
+        self.ended_prefills.record(now, &send);
         Some(send)
     }
 
+    /// Adds tokens to the output of a send of this entry; true if they are the first ones, which
+    /// end its prefill.
+    pub fn add_output(&mut self, now: Moment, key: SendKey, tokens: u64) -> bool {
+        let Some(LocalSend { send, .. }) = self.local.get_mut(key) else { return false };
+        let is_first = send.written_tokens == 0;
+        if is_first {
+            self.ended_prefills.record(now, send);
+            self.changed.push(key);
+        }
+        send.written_tokens += tokens;
+        is_first
+    }
+
     /// Returns a send of this entry for an update. Other entries learn of the update only after
     /// [`Self::mark_changed`].
     pub fn get_mut(&mut self, key: SendKey) -> Option<&mut InFlightSend> {
@@ -163,13 +181,15 @@
             previous.is_some_and(|r| r.is_complete && position == (r.incarnation, r.seq + 1));
         let is_complete = !load.partial || follows;
         let same_run = previous.is_some_and(|r| r.incarnation == load.incarnation);
-        let previous = self.remote.remove(load.node.as_str());
-        let mut sends = match previous {
-            Some(previous) if load.partial && same_run => previous.sends,
-            _ => HashMap::new(),
-        };
-        for number in &load.ended {
-            sends.remove(number);
+        let known = self.remote.remove(load.node.as_str()).map(|r| r.sends).unwrap_or_default();
+        let mut sends = HashMap::new();
+        if load.partial && same_run {
+            sends = known;
+        } else {
+            known.values().for_each(|send| self.ended_prefills.record(now, send));
+        }
+        for send in load.ended.iter().filter_map(|number| sends.remove(number)) {
+            self.ended_prefills.record(now, &send);
         }
         for (index, flight) in load.flights.iter().enumerate() {
             // Earlier versions send all their sends each time and don't number them.
@@ -177,7 +197,12 @@
                 0 => SendNumber::MAX - index as SendNumber,
                 number => number,
             };
-            sends.extend(decode_flight(flight, number, now));
+            for (number, send) in decode_flight(flight, number, now) {
+                let has_output = send.written_tokens > 0;
+                if let Some(before) = sends.insert(number, send).filter(|_| has_output) {
+                    self.ended_prefills.record(now, &before);
+                }
+            }
         }
         let remote = RemoteLoad {
             incarnation: load.incarnation,
@@ -193,6 +218,7 @@
     /// Drops the load of entries that have not reported recently.
     pub fn expire(&mut self, now: Moment) {
         self.remote.retain(|_, r| now.saturating_sub(r.received_at) < REMOTE_LOAD_TTL);
+        self.ended_prefills.expire(now);
     }
 
     /// Number of entries that reported recently, including this one.
@@ -200,6 +226,12 @@
         self.remote.len() + 1
     }
 
+    /// Prefills that ended in the last seconds, of this entry and of others. Engines spent time on
+    /// them while others waited there.
+    pub fn ended_prefills(&self) -> impl Iterator<Item = &InFlightSend> {
+        self.ended_prefills.iter()
+    }
+
     /// All sends in flight, local and remote.
     pub fn all(&self) -> impl Iterator<Item = &InFlightSend> {
         let remote_sends = self.remote.values().flat_map(|r| r.sends.values());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod control_updates;
 pub mod crash_watch;
 pub mod dialect;
+pub mod ended_prefills;
 pub mod endpoint_limits;
 pub mod engine_model;
 pub mod engine_sample;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -119,6 +119,7 @@
             held_tokens,
             is_helper,
             late: self.late,
+            prefill_ended_at: None,
         };
         let primary = send(self.primary, false, req.required_tokens().saturating_sub(at_helpers));
         let parts = self.helpers.iter().map(|h| send(h.index, true, h.held_tokens));
--- a/src/gateway/replay.rs
+++ b/src/gateway/replay.rs
@@ -1,9 +1,12 @@
-//! Estimates the prefills that an engine still has to do, from the sends it received and when.
+//! Estimates the prefills that an engine still has to do, from the sends it received and when, those
+//! included whose prefill has ended.
 //!
 //! Without decoding streams the engine prefills continuously, parts of shared prompts first and
 //! the newest of them first. With decoding streams it works in passes: everything that arrives
 //! during a pass is prefilled together in the next one.
 
+use std::time::Duration;
+
 use super::engine_model::EngineModel;
 use super::in_flight::InFlightSend;
 use crate::ids::Moment;
@@ -47,8 +50,11 @@
         None => ReplayedQueue { remaining: replay_continuous(now, sends), pass_remaining_ms: 0.0 },
     };
     // An unshared prompt without a first token is still in prefill, whatever the estimate says.
+    let has_ended = |r: &RemainingPrefill| sends[r.send_index].prefill_ended_at.is_some();
+    replayed.remaining.retain(|r| !has_ended(r));
     for (send_index, f) in sends.iter().enumerate() {
-        if !f.shared && !replayed.remaining.iter().any(|l| l.send_index == send_index) {
+        let is_overdue = !f.shared && f.prefill_ended_at.is_none();
+        if is_overdue && !replayed.remaining.iter().any(|l| l.send_index == send_index) {
             let overdue = RemainingPrefill {
                 send_index,
                 fraction: 0.0,
@@ -71,26 +77,53 @@
 
 fn replay_continuous(now: Moment, sends: &[&InFlightSend]) -> Vec<RemainingPrefill> {
     let mut queue: Vec<RemainingPrefill> = Vec::with_capacity(sends.len());
-    for (send_index, f) in sends.iter().enumerate() {
-        enqueue(&mut queue, send_index, f);
-        let next_event =
-            sends.get(send_index + 1).map_or(now, |next_send| next_send.sent_at.min(now));
-        let mut elapsed_ms = next_event.saturating_sub(f.sent_at).as_secs_f64() * 1000.0;
-        while elapsed_ms > 0.0
-            && let Some(front) = queue.first_mut()
-        {
-            let done_ms = front.remaining_ms.min(elapsed_ms);
-            front.fraction *= 1.0 - done_ms / front.remaining_ms.max(f64::MIN_POSITIVE);
-            front.remaining_ms -= done_ms;
-            elapsed_ms -= done_ms;
-            if front.remaining_ms <= 0.0 {
-                queue.remove(0);
-            }
+    let mut replayed_until = sends.first().map_or(now, |f| f.sent_at);
+    for (at, change) in queue_changes(now, sends) {
+        prefill_front(&mut queue, at.saturating_sub(replayed_until));
+        replayed_until = at;
+        match change {
+            QueueChange::Arrives(send_index) => enqueue(&mut queue, send_index, sends[send_index]),
+            QueueChange::Ends(send_index) => queue.retain(|r| r.send_index != send_index),
         }
     }
+    prefill_front(&mut queue, now.saturating_sub(replayed_until));
     queue
 }
 
+/// A change of an engine's queue, for the send at this index.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum QueueChange {
+    Arrives(usize),
+    Ends(usize),
+}
+
+/// The arrivals and known ends of the sends until now, in the order of their times.
+fn queue_changes(now: Moment, sends: &[&InFlightSend]) -> Vec<(Moment, QueueChange)> {
+    let arrivals = sends.iter().enumerate().map(|(i, f)| (f.sent_at, QueueChange::Arrives(i)));
+    let end = |(i, f): (usize, &&InFlightSend)| Some((f.prefill_ended_at?, QueueChange::Ends(i)));
+    let ends = sends.iter().enumerate().filter_map(end);
+    let mut changes: Vec<_> = arrivals.chain(ends).collect();
+    changes.iter_mut().for_each(|(at, _)| *at = (*at).min(now));
+    changes.sort_unstable();
+    changes
+}
+
+/// Takes `elapsed` of prefill off the front of the queue.
+fn prefill_front(queue: &mut Vec<RemainingPrefill>, elapsed: Duration) {
+    let mut elapsed_ms = elapsed.as_secs_f64() * 1000.0;
+    while elapsed_ms > 0.0
+        && let Some(front) = queue.first_mut()
+    {
+        let done_ms = front.remaining_ms.min(elapsed_ms);
+        front.fraction *= 1.0 - done_ms / front.remaining_ms.max(f64::MIN_POSITIVE);
+        front.remaining_ms -= done_ms;
+        elapsed_ms -= done_ms;
+        if front.remaining_ms <= 0.0 {
+            queue.remove(0);
+        }
+    }
+}
+
 fn replay_passes(
     model: &EngineModel,
     now: Moment,
@@ -100,8 +133,9 @@
     let Some(first) = sends.first() else {
         return ReplayedQueue { remaining: Vec::new(), pass_remaining_ms: steps_ms / 2.0 };
     };
-    let sent_ms = |f: &InFlightSend| f.sent_at.saturating_sub(first.sent_at).as_secs_f64() * 1000.0;
-    let now_ms = now.saturating_sub(first.sent_at).as_secs_f64() * 1000.0;
+    let since_first_ms = |at: Moment| at.saturating_sub(first.sent_at).as_secs_f64() * 1000.0;
+    let sent_ms = |f: &InFlightSend| since_first_ms(f.sent_at);
+    let now_ms = since_first_ms(now);
     let mut queued: Vec<RemainingPrefill> = Vec::new();
     let mut in_pass: Vec<RemainingPrefill> = Vec::new();
     let mut next_send = 0;
@@ -112,6 +146,10 @@
             enqueue(&mut queued, next_send, sends[next_send]);
             next_send += 1;
         }
+        let has_ended = |r: &RemainingPrefill| {
+            sends[r.send_index].prefill_ended_at.is_some_and(|at| since_first_ms(at) <= pass_end_ms)
+        };
+        queued.retain(|r| !has_ended(r));
         in_pass.clear();
         if queued.is_empty() {
             let Some(f) = sends.get(next_send) else {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -392,14 +392,11 @@
     /// sends are removed.
     pub fn add_output(&self, tokens: u64) {
         let mut in_flight = self.gateway.in_flight.lock();
-        let Some(first) = self.keys.first() else { return };
-        let Some(send) = in_flight.get_mut(*first) else { return };
-        let is_first_output = send.written_tokens == 0;
-        send.written_tokens += tokens;
-        if is_first_output {
-            in_flight.mark_changed(*first);
-            for key in &self.keys[1..] {
-                in_flight.remove(*key);
+        let Some((first, helpers)) = self.keys.split_first() else { return };
+        let now = boot_now();
+        if in_flight.add_output(now, *first, tokens) {
+            for key in helpers {
+                in_flight.remove(now, *key);
             }
             drop(in_flight);
             self.gateway.load_changed.notify_one();
@@ -410,8 +407,9 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let mut in_flight = self.gateway.in_flight.lock();
+        let now = boot_now();
         for key in &self.keys {
-            in_flight.remove(*key);
+            in_flight.remove(now, *key);
         }
         drop(in_flight);
         self.gateway.load_changed.notify_one();
--- a/tests/emulator/fleet.rs
+++ b/tests/emulator/fleet.rs
@@ -265,7 +265,8 @@
         };
         let now = self.moment();
         let in_flight = &self.entries[entry].in_flight;
-        let mut states = build_states(&self.model, now, self.ids.iter(), in_flight.all());
+        let known_sends = in_flight.all().chain(in_flight.ended_prefills());
+        let mut states = build_states(&self.model, now, self.ids.iter(), known_sends);
         for state in &mut states {
             state.round_trip_ms = 2.0 * LATENCY_MS;
         }
@@ -385,20 +386,19 @@
             Some(at) => outcome.pause_ms = outcome.pause_ms.max(self.now - at),
         }
         let starts = s.last_event_ms.is_none();
+        let moment = Duration::from_secs_f64(1000.0 + self.now / 1000.0);
         s.last_event_ms = Some(self.now);
         let kind = &self.preset.kinds[outcome.kind];
         let late = waited > kind.objective_ms && starts || outcome.pause_ms > kind.pause_limit_ms;
         let in_flight = &mut self.entries[s.entry].in_flight;
-        if let Some(f) = in_flight.get_mut(s.keys[0]) {
-            f.written_tokens += u64::from(self.preset.stride);
-            f.late |= late;
-        }
-        if starts || late {
+        in_flight.add_output(moment, s.keys[0], u64::from(self.preset.stride));
+        if let Some(f) = in_flight.get_mut(s.keys[0]).filter(|_| late) {
+            f.late = true;
             in_flight.mark_changed(s.keys[0]);
         }
         if starts {
             for key in s.keys.drain(1..) {
-                in_flight.remove(key);
+                in_flight.remove(moment, key);
             }
         }
         let entry = s.entry;
@@ -422,8 +422,9 @@
 
     fn finish(&mut self, send: SendId, whole: bool) {
         let Some(s) = self.sends.remove(&send) else { return };
+        let now = self.moment();
         for key in s.keys {
-            self.entries[s.entry].in_flight.remove(key);
+            self.entries[s.entry].in_flight.remove(now, key);
         }
         self.mark_changed(s.entry);
         let outcome = &mut self.outcomes[s.request];
--- a/tests/load_exchange.rs
+++ b/tests/load_exchange.rs
@@ -99,7 +99,7 @@
                     own.mark_changed(keys[at]);
                 }
                 Step::End(at) if at < keys.len() => {
-                    own.remove(keys.swap_remove(at));
+                    own.remove(ms(5), keys.swap_remove(at));
                 }
                 _ => {}
             }
@@ -163,7 +163,7 @@
             due = true;
         }
         if now % 166 == 83 && keys.len() > 20 {
-            own.remove(keys.remove(0));
+            own.remove(ms(now), keys.remove(0));
             due = true;
         }
         if due && now >= next_at {
@@ -237,8 +237,32 @@
     assert_eq!(known(&other).len(), 18);
     assert_eq!(known(&own), known(&other));
     for key in keys {
-        own.remove(key);
+        own.remove(ms(5), key);
     }
     assert_eq!(report(&mut own, &mut other, 2), ReportOutcome::Applied);
     assert_eq!(known(&own), known(&other));
 }
+
+#[test]
+fn prefills_that_ended_at_other_entries_are_known_for_some_seconds() {
+    let (mut own, mut other) = (InFlightSends::default(), InFlightSends::default());
+    let keys: Vec<SendKey> = shared_prompt(7).into_iter().map(|s| own.insert(s)).collect();
+    let report = |own: &mut InFlightSends, other: &mut InFlightSends, seq: u64, now: Duration| {
+        let LoadChanges { flights, ended } = own.take_changes(now);
+        let load = SharedLoad { seq, partial: seq > 1, flights, ended, ..template() };
+        other.apply_report(now, load);
+        other.ended_prefills().count()
+    };
+    assert_eq!(report(&mut own, &mut other, 1, ms(5)), 0);
+    assert!(own.add_output(ms(900), keys[0], 46), "its first output");
+    assert!(!own.add_output(ms(950), keys[0], 46));
+    for key in &keys[1..] {
+        own.remove(ms(900), *key);
+    }
+    assert_eq!(report(&mut own, &mut other, 2, ms(901)), 17);
+    assert_eq!(own.ended_prefills().count(), 17);
+    own.remove(ms(1_500), keys[0]);
+    assert_eq!(report(&mut own, &mut other, 3, ms(1_501)), 17, "the stream's end is no second one");
+    other.expire(ms(6_000));
+    assert_eq!(other.ended_prefills().count(), 0);
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -289,3 +289,39 @@
     let order: Vec<usize> = replayed.remaining.iter().map(|l| l.send_index).collect();
     assert_eq!(order, [2, 1, 0], "{replayed:?}");
 }
+
+/// The newer of two parts is prefilled first; once it is done, the older one still needs its time.
+#[test]
+fn time_spent_on_a_prompt_that_is_done_is_not_taken_off_those_that_waited_behind_it() {
+    let part = |request_hash, sent_ms, ended_ms: Option<u64>| InFlightSend {
+        request_hash,
+        shared: true,
+        is_helper: true,
+        prefill_ms: 500.0,
+        prefill_ended_at: ended_ms.map(Duration::from_millis),
+        ..send(0, (100_000, 500, 3000.0, 800.0), sent_ms, 0)
+    };
+    let backlog_ms = |sends: &[InFlightSend]| states(1, 650, sends)[0].backlog_ms();
+    let both = [part(1, 0, None), part(2, 100, Some(600))];
+    assert!((backlog_ms(&both) - 350.0).abs() < 1.0, "{}", backlog_ms(&both));
+    assert_eq!(backlog_ms(&[part(2, 100, Some(600))]), 0.0, "nothing waits");
+    let engine = states(1, 650, &both).remove(0);
+    assert_eq!(
+        (engine.pending.len(), engine.memory_used_tokens),
+        (1, 100_500),
+        "of what is in flight"
+    );
+}
+
+/// Prompts behind a stream that has not begun yet wait for its first pass.
+#[test]
+fn a_prompt_behind_another_at_an_idle_engine_waits_for_the_first_decoding_pass() {
+    let model = EngineModel::default();
+    let engine = &states(1, 10, &[send(0, SHORT, 0, 0)])[0];
+    let alone = &states(1, 10, &[])[0];
+    let request = request(SHORT);
+    let first_token =
+        |engine: &EngineState| plan(std::slice::from_ref(engine), &request).first_token_ms;
+    let added_ms = first_token(engine) - first_token(alone);
+    assert!(added_ms >= model.stride_ms(1, SHORT.0), "{added_ms}");
+}
