End only the prefills that a full report of another entry does not name

Cause: after a missed report an entry sends all its sends; the receiver took all that it knew before as ended prefills, though most of them are in the new list, and counted them twice. Change: only those that are gone or have output count as ended. Result: the new test failed before and passes.

--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -182,12 +182,35 @@
         let is_complete = !load.partial || follows;
         let same_run = previous.is_some_and(|r| r.incarnation == load.incarnation);
         let known = self.remote.remove(load.node.as_str()).map(|r| r.sends).unwrap_or_default();
-        let mut sends = HashMap::new();
-        if load.partial && same_run {
-            sends = known;
-        } else {
-            known.values().for_each(|send| self.ended_prefills.record(now, send));
+        let (mut sends, replaced) = match load.partial && same_run {
+            true => (known, HashMap::new()),
+            false => (HashMap::new(), known),
+        };
+        self.apply_changes(now, &load, &mut sends);
+        for (number, before) in &replaced {
+            let is_in_prefill = |send: &InFlightSend| same_run && send.written_tokens == 0;
+            if !sends.get(number).is_some_and(is_in_prefill) {
+                self.ended_prefills.record(now, before);
+            }
         }
+        let remote = RemoteLoad {
+            incarnation: load.incarnation,
+            seq: load.seq,
+            received_at: now,
+            is_complete,
+            sends,
+        };
+        self.remote.insert(SmolStr::new(&load.node), remote);
+        if is_complete { ReportOutcome::Applied } else { ReportOutcome::Incomplete }
+    }
+
+    /// Applies the ends and flights of a report to the known sends of its entry.
+    fn apply_changes(
+        &mut self,
+        now: Moment,
+        load: &wire::SharedLoad,
+        sends: &mut HashMap<SendNumber, InFlightSend>,
+    ) {
         for send in load.ended.iter().filter_map(|number| sends.remove(number)) {
             self.ended_prefills.record(now, &send);
         }
@@ -204,15 +227,6 @@
                 }
             }
         }
-        let remote = RemoteLoad {
-            incarnation: load.incarnation,
-            seq: load.seq,
-            received_at: now,
-            is_complete,
-            sends,
-        };
-        self.remote.insert(SmolStr::new(&load.node), remote);
-        if is_complete { ReportOutcome::Applied } else { ReportOutcome::Incomplete }
     }
 
     /// Drops the load of entries that have not reported recently.
--- a/src/gateway/load_exchange.rs
+++ b/src/gateway/load_exchange.rs
@@ -25,8 +25,8 @@
 /// Delay in which further changes are combined into one datagram.
 const COALESCE_DELAY: Duration = Duration::from_millis(2);
 
-/// Time of sending at the mean rate that may be sent at once. A request causes three reports to
-/// every other entry; waiting with each of them for the mean rate would make all loads old.
+/// How far the datagrams may run ahead of the mean rate. A report to all entries can take a large
+/// part of it; if each report waited until the mean was reached, all loads would be old.
 const MAX_BURST_TIME: Duration = Duration::from_millis(300);
 
 /// Interval at which a datagram is sent even if nothing changed, so that a lost one is noticed and
--- a/tests/load_exchange.rs
+++ b/tests/load_exchange.rs
@@ -266,3 +266,31 @@
     other.expire(ms(6_000));
     assert_eq!(other.ended_prefills().count(), 0);
 }
+
+#[test]
+fn a_list_of_all_sends_ends_only_the_prefills_that_it_does_not_name() {
+    let (mut own, mut other) = (InFlightSends::default(), InFlightSends::default());
+    let waiting = own.insert(send(1));
+    let ended = own.insert(send(2));
+    let list_all = |own: &InFlightSends, seq: u64, incarnation: u64| SharedLoad {
+        seq,
+        incarnation,
+        flights: own.encode_local(ms(5)),
+        ..template()
+    };
+    other.apply_report(ms(5), list_all(&own, 1, 7));
+    own.remove(ms(50), ended);
+    other.apply_report(ms(60), list_all(&own, 2, 7));
+    let hashes = |sends: &InFlightSends| -> Vec<u64> {
+        sends.ended_prefills().map(|f| f.request_hash).collect()
+    };
+    assert_eq!(hashes(&other), [2]);
+    own.add_output(ms(80), waiting, 46);
+    other.apply_report(ms(90), list_all(&own, 3, 7));
+    assert_eq!(hashes(&other), [2, 1]);
+    other.apply_report(ms(95), list_all(&own, 4, 7));
+    assert_eq!(hashes(&other), [2, 1], "streams end no prefill");
+    let restarted = list_all(&InFlightSends::default(), 1, 8);
+    other.apply_report(ms(99), restarted);
+    assert_eq!(other.all().count(), 0);
+}
