Count the idle time of a stream from event to event

Cause: each frame of an engine's body began the idle time anew, so an engine that stalled but sent a byte now and then held its stream until the deadline, where it ended broken. Change: only whole events begin it anew; time in which the caller is slow to read does not count.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -262,9 +262,12 @@
     let idle_timeout = (req.route.pause_limit * IDLE_TIMEOUT_PAUSES).max(MIN_IDLE_TIMEOUT);
     let mut first = true;
     let mut keep_waiting = false;
+    // Bytes of an unfinished event don't count: a stalled engine may send a few now and then.
+    let mut last_event_at = boot_now();
     loop {
         let remaining = req.remaining();
-        let limit = if first || keep_waiting { remaining } else { remaining.min(idle_timeout) };
+        let idle_left = idle_timeout.saturating_sub(boot_now().saturating_sub(last_event_at));
+        let limit = if first || keep_waiting { remaining } else { remaining.min(idle_left) };
         let frame = tokio::select! {
             biased;
             () = tx.closed() => return SegmentEnd::CallerGone,
@@ -305,6 +308,8 @@
             if !forward_event(tx, event, progress).await {
                 return SegmentEnd::CallerGone;
             }
+            // Time in which the caller was slow to read is not the engine's.
+            last_event_at = boot_now();
         }
         if splitter.is_too_large() {
             return SegmentEnd::Broken("an event is too large".into());
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -169,6 +169,24 @@
     assert!(resumed > 0, "the failing engine was never selected");
 }
 
+/// A byte now and then is no progress: only whole events are.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_drips_without_whole_events_goes_on_at_another_engine() {
+    let fixture = start_fixture(1).await;
+    fixture.engines[0].set(ServerMode::Drips);
+    let mut resumed = 0;
+    for _ in 0..8 {
+        let req = ask("/ask/1", 5000);
+        let id = id_of(&req);
+        let start = Instant::now();
+        let (status, _, body) = fixture.nodes.send(0, req).await;
+        assert_eq!((status, events(&body.unwrap())), (200, (1..=EVENTS).collect()));
+        assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
+        resumed += usize::from(fixture.records.of(&id).len() == 2);
+    }
+    assert!(resumed > 0, "the dripping engine was never selected");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_that_may_not_be_resumed_ends_broken_and_runs_once() {
     let fixture = start_fixture(1).await;
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -46,6 +46,8 @@
     Slow,
     /// Starts a stream and sends no event.
     Stalls,
+    /// Sends the bytes of a stream's fifth event so slowly that it never ends.
+    Drips,
     /// Responds with success and says that it leaves, but goes on to announce that it is ready.
     SaysItLeaves,
     /// Responds that it did not run the request and wants none for two seconds.
@@ -450,6 +452,11 @@
             let _ = tx.send(Err(std::io::Error::other("breaks off"))).await;
             return;
         }
+        if mode == ServerMode::Drips && id == after + 5 {
+            drip(&tx, &event).await;
+            records.disconnects.lock().push((request, Instant::now()));
+            return;
+        }
         let pause = match mode {
             ServerMode::Slow => 250,
             ServerMode::Stalls => 60_000,
@@ -469,6 +476,17 @@
     }
 }
 
+/// Sends the bytes of an event so slowly that it never ends, until the caller disconnects.
+async fn drip(tx: &mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>, event: &str) {
+    let bytes = event.trim_end().bytes().chain(std::iter::repeat(b'.'));
+    for byte in bytes {
+        if tx.send(Ok(Frame::data(Bytes::from(vec![byte])))).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
 async fn handle_order(records: &Records, req: Request<Incoming>) -> Response<Body> {
     let body = req.into_body().collect().await.unwrap().to_bytes();
     let order: serde_json::Value = serde_json::from_slice(&body).unwrap();
