Group the gateway's modules into rooms

The folder held 34 files side by side, so that its three themes could not be seen. Eligibility of endpoints, load and placement get folders of their own; the list of endpoints moves out of the shared state. Moves only: no behaviour changes. Tests of placement, load exchange, limits and gateway pass.

--- a/examples/heavy.rs
+++ b/examples/heavy.rs
@@ -6,7 +6,7 @@
 
 use argh::FromArgs;
 
-use bitternlead::gateway::policy::Policy;
+use bitternlead::gateway::placement::policy::Policy;
 
 use crate::emulator::fleet::{Outcome, Summary, run_policy, summarize};
 use crate::emulator::load::{Preset, grown, large, scaled, small, with_burst};
--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -13,12 +13,13 @@
 use super::config::{GatewayConfig, RetryPolicy, Route, Service};
 use super::crash_watch::{self, Suspect, tells_its_end};
 use super::dialect::{CallerHead, SendOptions};
+use super::eligibility::endpoints::Endpoint;
 use super::reason::Reason;
 use super::responses::{
     ResponseBody, body_from_bytes, jittered_retry_after, refuse, spread_retry_after, text_response,
 };
 use super::send::{EndpointResponse, OutgoingRequest, SendOutcome, error_chain};
-use super::state::{Endpoint, Gateway};
+use super::state::Gateway;
 use crate::clock::boot_now;
 use crate::event;
 use crate::ids::{Moment, WorkspaceName};
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -8,13 +8,14 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::active_request::ActiveRequest;
-use super::admission::mean_backlog_ms;
 use super::config::RetryPolicy;
-use super::engine_state::{EngineState, build_states};
-use super::in_flight::InFlightSend;
+use super::eligibility::endpoints::Endpoint;
+use super::load::in_flight::InFlightSend;
+use super::placement::admission::mean_backlog_ms;
+use super::placement::engine_state::{EngineState, build_states};
 use super::placement::{self, Decision, PlacementRequest, Plan};
 use super::reservation::Reservation;
-use super::state::{Endpoint, InFlightGuard};
+use super::state::InFlightGuard;
 use crate::clock::boot_now;
 use crate::event;
 use crate::ids::Moment;
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -6,7 +6,7 @@
 
 use smol_str::SmolStr;
 
-use super::engine_model::EngineModel;
+use super::placement::engine_model::EngineModel;
 use crate::ids::{Version, WorkspaceName};
 
 /// Whether a request may be sent again after it may have run.
--- a/src/gateway/control_updates.rs
+++ b/src/gateway/control_updates.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::load_exchange::LoadPeers;
+use super::load::load_exchange::LoadPeers;
 use super::state::Gateway;
 use crate::clock::boot_now;
 use crate::control::document_fetcher::DocumentFetch;
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -14,7 +14,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::dialect::CallerHead;
-use super::state::{Endpoint, Gateway};
+use super::eligibility::endpoints::Endpoint;
+use super::state::Gateway;
 use crate::clock::boot_now;
 use crate::control::subscriber::ReplicaSubscriber;
 use crate::directory::EndpointId;
--- a/src/gateway/endpoint_limits.rs
+++ b/src/gateway/eligibility/endpoint_limits.rs
@@ -138,7 +138,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use bitternlead::gateway::endpoint_limits::EndpointLimits;
+/// use bitternlead::gateway::eligibility::endpoint_limits::EndpointLimits;
 ///
 /// let mut limits = EndpointLimits::default();
 /// let (id, mut rng) = ("engine-1".into(), rand::rng());
--- a/src/gateway/load_exchange.rs
+++ b/src/gateway/load/load_exchange.rs
@@ -16,9 +16,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::in_flight::{LoadChanges, ReportOutcome};
-use super::state::Gateway;
 use crate::clock::{boot_now, wall_ms};
 use crate::event;
+use crate::gateway::state::Gateway;
 use crate::ids::Moment;
 use crate::wire::{Flight, SharedLoad};
 
@@ -133,7 +133,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use bitternlead::gateway::load_exchange::SendPacer;
+/// use bitternlead::gateway::load::load_exchange::SendPacer;
 ///
 /// let mut pacer = SendPacer::new(10_000.0);
 /// let now = Duration::from_secs(5);
--- a/src/gateway/moving_average.rs
+++ b/src/gateway/load/moving_average.rs
@@ -11,7 +11,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use bitternlead::gateway::moving_average::MovingAverage;
+/// use bitternlead::gateway::load::moving_average::MovingAverage;
 ///
 /// let mut mean = MovingAverage::default();
 /// let soon = mean.record(Duration::from_millis(100), 10.0);
--- a/src/gateway/replay.rs
+++ b/src/gateway/load/replay.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-use super::engine_model::EngineModel;
 use super::in_flight::InFlightSend;
+use crate::gateway::placement::engine_model::EngineModel;
 use crate::ids::Moment;
 
 /// Remaining prefill time assumed for a prompt that is past its estimated finish, in milliseconds.
--- a/src/gateway/admission.rs
+++ b/src/gateway/placement/admission.rs
@@ -7,9 +7,9 @@
 //! must not take the slots of those that can be in time: they wait for a slot to spare, and are
 //! refused before their callers would leave.
 
+use super::decision::{PlacementRequest, Plan, RefusalCause};
 use super::engine_model::EngineModel;
 use super::engine_state::EngineState;
-use super::placement::{PlacementRequest, Plan, RefusalCause};
 use super::policy::Policy;
 use super::value::LATE_LOSS_SHARE;
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement/decision.rs
@@ -10,10 +10,10 @@
 use super::engine_model::EngineModel;
 use super::engine_sample::sample_engines;
 use super::engine_state::{EngineState, MIN_SHORT_ENGINES, SAFE_PREFILL_MS, StreamState};
-use super::in_flight::InFlightSend;
 use super::plan_search::{MAX_REMAINING_TIME_FRACTION, PlanSearch, is_worth_splitting};
 use super::policy::Policy;
 use super::value::value;
+use crate::gateway::load::in_flight::InFlightSend;
 use crate::ids::Moment;
 
 /// Target number of streams on each engine reserved for short prompts, as a fraction of its slots.
@@ -175,10 +175,10 @@
 /// reserved for short prompts.
 ///
 /// ```
-/// use bitternlead::gateway::engine_model::EngineModel;
-/// use bitternlead::gateway::engine_state::EngineState;
+/// use bitternlead::gateway::placement::engine_model::EngineModel;
+/// use bitternlead::gateway::placement::engine_state::EngineState;
 /// use bitternlead::gateway::placement::{Decision, PlacementRequest, decide};
-/// use bitternlead::gateway::policy::Policy;
+/// use bitternlead::gateway::placement::policy::Policy;
 ///
 /// let engine = EngineState { slowness: 1.0, ..EngineState::default() };
 /// let req = PlacementRequest {
--- a/src/gateway/engine_model.rs
+++ b/src/gateway/placement/engine_model.rs
@@ -54,7 +54,7 @@
     /// Time to prefill a whole prompt on one engine.
     ///
     /// ```
-    /// use bitternlead::gateway::engine_model::EngineModel;
+    /// use bitternlead::gateway::placement::engine_model::EngineModel;
     ///
     /// let model = EngineModel::default();
     /// let (once, twice) = (model.prefill_ms(100_000), model.prefill_ms(200_000));
--- a/src/gateway/engine_sample.rs
+++ b/src/gateway/placement/engine_sample.rs
@@ -23,8 +23,8 @@
 /// the ids of the engines.
 ///
 /// ```
-/// use bitternlead::gateway::engine_sample::sample_engines;
-/// use bitternlead::gateway::engine_state::EngineState;
+/// use bitternlead::gateway::placement::engine_sample::sample_engines;
+/// use bitternlead::gateway::placement::engine_state::EngineState;
 ///
 /// let engine = |n: usize| EngineState { id: format!("e{n}").into(), ..EngineState::default() };
 /// let engines: Vec<EngineState> = (0..40).map(engine).collect();
--- a/src/gateway/engine_state.rs
+++ b/src/gateway/placement/engine_state.rs
@@ -10,10 +10,10 @@
 use std::collections::HashMap;
 
 use super::engine_model::EngineModel;
-use super::in_flight::InFlightSend;
-use super::replay::replay;
 use super::value::{LATE_LOSS_SHARE, expected_loss, value};
 use crate::directory::EndpointId;
+use crate::gateway::load::in_flight::InFlightSend;
+use crate::gateway::load::replay::replay;
 use crate::ids::Moment;
 
 /// Fraction of the KV cache kept free, because output lengths are estimates.
--- /dev/null
+++ b/src/gateway/placement/mod.rs
@@ -0,0 +1,16 @@
+//! Decides on which engines a request runs, whether it waits, or whether it is refused.
+//!
+//! The load of the engines, their performance model and the request come in; a [`Decision`] comes out.
+
+pub mod admission;
+pub mod decision;
+pub mod engine_model;
+pub mod engine_sample;
+pub mod engine_state;
+pub mod plan_search;
+pub mod policy;
+pub mod value;
+
+pub use decision::{
+    Decision, Helper, PlacementRequest, Plan, RefusalCause, decide, short_engine_count,
+};
--- a/src/gateway/plan_search.rs
+++ b/src/gateway/placement/plan_search.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 
+use super::decision::{Helper, PlacementRequest, Plan};
 use super::engine_model::EngineModel;
 use super::engine_state::{EngineState, NewPrefill};
-use super::placement::{Helper, PlacementRequest, Plan};
 use super::policy::Policy;
 use super::value::expected_loss;
 
--- a/src/gateway/policy.rs
+++ b/src/gateway/placement/policy.rs
@@ -59,7 +59,7 @@
     /// A name is unknown; the text lists the known ones.
     ///
     /// ```
-    /// use bitternlead::gateway::policy::Policy;
+    /// use bitternlead::gateway::placement::policy::Policy;
     ///
     /// let policy = Policy::without(&["helpers", "retry-relief"]).unwrap();
     /// assert!(!policy.helpers && !policy.retry_relief && policy.wait_long);
--- a/src/gateway/value.rs
+++ b/src/gateway/placement/value.rs
@@ -18,7 +18,7 @@
 /// Value of a request that is answered in time.
 ///
 /// ```
-/// use bitternlead::gateway::value::value;
+/// use bitternlead::gateway::placement::value::value;
 ///
 /// assert!(value(200_000, 800) > 10.0 * value(5_000, 1_500));
 /// ```
@@ -33,7 +33,7 @@
 /// inexact.
 ///
 /// ```
-/// use bitternlead::gateway::value::{LATE_LOSS_SHARE, expected_loss};
+/// use bitternlead::gateway::placement::value::{LATE_LOSS_SHARE, expected_loss};
 ///
 /// assert_eq!(expected_loss(0.3), 0.0);
 /// assert_eq!(expected_loss(1.5), LATE_LOSS_SHARE);
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -15,7 +15,8 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use super::state::{Endpoint, Gateway};
+use super::eligibility::endpoints::Endpoint;
+use super::state::Gateway;
 use crate::event;
 use crate::metrics::ReasonLabels;
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,7 +17,7 @@
 use super::control_updates::GatewayListener;
 use super::crash_watch;
 use super::handler;
-use super::load_exchange::{self, LoadPeers};
+use super::load::load_exchange::{self, LoadPeers};
 use super::responses::{self, ResponseBody};
 use super::state::Gateway;
 use crate::clock::boot_now;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -10,9 +10,10 @@
 use tokio::time::timeout;
 
 use super::dialect::ResponseHead;
+use super::eligibility::endpoints::Endpoint;
 use super::pool::Connection;
 use super::reason::Reason;
-use super::state::{Endpoint, Gateway};
+use super::state::Gateway;
 use crate::directory::EndpointId;
 
 /// Maximum number of idle connections to try before opening a new one.
--- a/src/losses.rs
+++ b/src/losses.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use crate::gateway::value::{LATE_LOSS_SHARE, value};
+use crate::gateway::placement::value::{LATE_LOSS_SHARE, value};
 use crate::prompt_class::PromptClass;
 use crate::trace::TraceLine;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 use bitternlead::events::{build_logger, build_output_logger};
 use bitternlead::exit_codes::ExitCode;
 use bitternlead::findings::Findings;
-use bitternlead::gateway::policy::Policy;
+use bitternlead::gateway::placement::policy::Policy;
 use bitternlead::platform::roles;
 use bitternlead::platform::settings::PlatformSettings;
 use bitternlead::process::RunError;
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -10,7 +10,7 @@
 
 use crate::findings::{Findings, Place};
 use crate::gateway::config::{CallerLimits, GatewayConfig, RetryPolicy, Route, Service, Workspace};
-use crate::gateway::engine_model::EngineModel;
+use crate::gateway::placement::engine_model::EngineModel;
 
 /// The document; field names are those of the platform.
 #[derive(Deserialize)]
--- a/src/platform/roles.rs
+++ b/src/platform/roles.rs
@@ -14,7 +14,7 @@
 use crate::control::relay::{ControlRelay, RelaySettings};
 use crate::control::service::{ControlService, ServiceSettings};
 use crate::event;
-use crate::gateway::policy::Policy;
+use crate::gateway::placement::policy::Policy;
 use crate::gateway::run::{self, GatewayAddresses};
 use crate::gateway::state::{Gateway, GatewaySettings};
 use crate::http::{self, Readiness};
--- a/tests/emulator/engine.rs
+++ b/tests/emulator/engine.rs
@@ -1,6 +1,6 @@
 //! Emulation of one engine.
 
-use bitternlead::gateway::engine_model::EngineModel;
+use bitternlead::gateway::placement::engine_model::EngineModel;
 
 /// Identifies a send; the parts of a shared prompt have the same id.
 pub type SendId = u64;
--- a/tests/emulator/fleet.rs
+++ b/tests/emulator/fleet.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use bitternlead::directory::EndpointId;
-use bitternlead::gateway::admission::mean_backlog_ms;
-use bitternlead::gateway::engine_model::EngineModel;
-use bitternlead::gateway::engine_state::build_states;
-use bitternlead::gateway::in_flight::{InFlightSends, SendKey};
-use bitternlead::gateway::load_exchange::SendPacer;
-use bitternlead::gateway::moving_average::MovingAverage;
+use bitternlead::gateway::load::in_flight::{InFlightSends, SendKey};
+use bitternlead::gateway::load::load_exchange::SendPacer;
+use bitternlead::gateway::load::moving_average::MovingAverage;
+use bitternlead::gateway::placement::admission::mean_backlog_ms;
+use bitternlead::gateway::placement::engine_model::EngineModel;
+use bitternlead::gateway::placement::engine_state::build_states;
+use bitternlead::gateway::placement::policy::Policy;
 use bitternlead::gateway::placement::{Decision, PlacementRequest, Plan};
-use bitternlead::gateway::policy::Policy;
 use bitternlead::wire::SharedLoad;
 use prost::Message;
 use rand::{RngExt, SeedableRng};
@@ -304,7 +304,7 @@
         request: usize,
         entry: usize,
         plan: Plan,
-        sends_made: Vec<bitternlead::gateway::in_flight::InFlightSend>,
+        sends_made: Vec<bitternlead::gateway::load::in_flight::InFlightSend>,
     ) {
         self.next += 1;
         let send = self.next;
--- a/tests/emulator/router.rs
+++ b/tests/emulator/router.rs
@@ -1,9 +1,9 @@
 //! Routing policies: the gateway's placement code and simple policies to compare it with.
 
-use bitternlead::gateway::engine_model::EngineModel;
-use bitternlead::gateway::engine_state::EngineState;
+use bitternlead::gateway::placement::engine_model::EngineModel;
+use bitternlead::gateway::placement::engine_state::EngineState;
+use bitternlead::gateway::placement::policy::Policy;
 use bitternlead::gateway::placement::{Decision, PlacementRequest, Plan, decide};
-use bitternlead::gateway::policy::Policy;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,10 +6,10 @@
 
 use bitternlead::directory::Directory;
 use bitternlead::gateway::budget::{BudgetConfig, RetryBudget};
+use bitternlead::gateway::eligibility::endpoints::Endpoints;
+use bitternlead::gateway::eligibility::health::Health;
 use bitternlead::gateway::events::EventSplitter;
-use bitternlead::gateway::health::Health;
-use bitternlead::gateway::in_flight::{InFlightSend, InFlightSends};
-use bitternlead::gateway::state::Endpoints;
+use bitternlead::gateway::load::in_flight::{InFlightSend, InFlightSends};
 use bitternlead::wire::{Announcement, SharedLoad, Standing};
 use proptest::prelude::*;
 
--- a/tests/heavy_days.rs
+++ b/tests/heavy_days.rs
@@ -3,7 +3,7 @@
 
 mod emulator;
 
-use bitternlead::gateway::policy::Policy;
+use bitternlead::gateway::placement::policy::Policy;
 use emulator::fleet::{Summary, run_load, run_policy, summarize};
 use emulator::load::{Preset, large, scaled, shortened, small, with_burst};
 use emulator::router::Router;
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bitternlead::directory::EndpointId;
-use bitternlead::gateway::endpoint_limits::{EndpointLimits, LimitChange};
+use bitternlead::gateway::eligibility::endpoint_limits::{EndpointLimits, LimitChange};
 use bitternlead::wire::EndpointLimit;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/tests/load_exchange.rs
+++ b/tests/load_exchange.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bitternlead::gateway::in_flight::{
+use bitternlead::gateway::load::in_flight::{
     InFlightSend, InFlightSends, LoadChanges, ReportOutcome, SendKey,
 };
-use bitternlead::gateway::load_exchange::{LoadPeers, SendPacer};
+use bitternlead::gateway::load::load_exchange::{LoadPeers, SendPacer};
 use bitternlead::wire::SharedLoad;
 use proptest::prelude::*;
 use prost::Message;
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use bitternlead::gateway::engine_model::EngineModel;
-use bitternlead::gateway::engine_state::EngineState;
-use bitternlead::gateway::in_flight::InFlightSend;
+use bitternlead::gateway::load::in_flight::InFlightSend;
+use bitternlead::gateway::load::replay::replay;
+use bitternlead::gateway::placement::engine_model::EngineModel;
+use bitternlead::gateway::placement::engine_state::EngineState;
+use bitternlead::gateway::placement::policy::Policy;
 use bitternlead::gateway::placement::{
     Decision, PlacementRequest, Plan, RefusalCause, decide, short_engine_count,
 };
-use bitternlead::gateway::policy::Policy;
-use bitternlead::gateway::replay::replay;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
