Ask eligibility rules in one place

Who may be sent to was spread over health, endpoint limits and the choice itself. Rules of one trait now answer it, each with the time from which on an endpoint may be sent to again. The two present rules are asked in the same order as before; tests of limits and gateway pass.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -9,6 +9,7 @@
 
 use super::active_request::ActiveRequest;
 use super::config::RetryPolicy;
+use super::eligibility::SendContext;
 use super::eligibility::endpoints::Endpoint;
 use super::load::in_flight::InFlightSend;
 use super::placement::admission::mean_backlog_ms;
@@ -84,19 +85,12 @@
         }
     }
 
-    /// Ready endpoints that were not tried for this request, are not in a connection backoff and
-    /// have room within the limit that they name.
+    /// Ready endpoints that were not tried for this request and that all rules allow.
     fn candidates(&self, now: Moment) -> Vec<Endpoint> {
         let endpoints = self.gateway.endpoints.lock().ready_endpoints(&self.service.name);
-        let entries = self.gateway.in_flight.lock().entry_count();
-        let health = self.gateway.health.lock();
-        let mut limits = self.gateway.limits.lock();
-        let mut rng = rand::rng();
-        let is_usable = |e: &&Endpoint| {
-            !self.tried.contains(&e.id)
-                && health.is_available(now, &e.id)
-                && limits.may_send(now, &e.id, entries, &mut rng)
-        };
+        let cx = SendContext { now, entries: self.gateway.in_flight.lock().entry_count() };
+        let is_usable =
+            |e: &&Endpoint| !self.tried.contains(&e.id) && self.gateway.is_eligible(&cx, e);
         endpoints.iter().filter(is_usable).cloned().collect()
     }
 
--- a/src/gateway/eligibility/endpoint_limits.rs
+++ b/src/gateway/eligibility/endpoint_limits.rs
@@ -7,9 +7,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use rand::{Rng, RngExt};
 use smol_str::SmolStr;
 
+use super::endpoints::Endpoint;
+use super::{Eligibility, EligibilityRule, SendContext};
 use crate::directory::EndpointId;
 use crate::ids::Moment;
 use crate::wire::EndpointLimit;
@@ -246,6 +249,13 @@
     }
 }
 
+impl EligibilityRule for Mutex<EndpointLimits> {
+    fn check(&self, cx: &SendContext, endpoint: &Endpoint) -> Eligibility {
+        let may_send = self.lock().may_send(cx.now, &endpoint.id, cx.entries, &mut rand::rng());
+        if may_send { Eligibility::Allowed } else { Eligibility::Until(cx.now + REPORT_DELAY) }
+    }
+}
+
 fn encode(id: &EndpointId, state: &LimitState, now: Moment) -> EndpointLimit {
     EndpointLimit {
         endpoint: id.to_string(),
--- a/src/gateway/eligibility/health.rs
+++ b/src/gateway/eligibility/health.rs
@@ -3,6 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use parking_lot::Mutex;
+
+use super::endpoints::Endpoint;
+use super::{Eligibility, EligibilityRule, SendContext};
 use crate::directory::EndpointId;
 use crate::ids::Moment;
 
@@ -74,10 +78,15 @@
         time
     }
 
-    /// Whether the endpoint may be sent to: it is outside its connection backoff, and outside the
-    /// time in which it wants no requests.
+    /// When the endpoint may be sent to again: after its connection backoff, and after the time in
+    /// which it wants no requests.
+    pub fn available_at(&self, id: &EndpointId) -> Moment {
+        self.records.get(id).map_or(Moment::ZERO, |r| r.retry_at.max(r.unwilling_until))
+    }
+
+    /// Whether the endpoint may be sent to.
     pub fn is_available(&self, now: Moment, id: &EndpointId) -> bool {
-        self.records.get(id).is_none_or(|r| now >= r.retry_at && now >= r.unwilling_until)
+        now >= self.available_at(id)
     }
 
     /// Time for which the endpoint still wants no requests; zero if it takes them.
@@ -108,6 +117,13 @@
     }
 }
 
+impl EligibilityRule for Mutex<Health> {
+    fn check(&self, cx: &SendContext, endpoint: &Endpoint) -> Eligibility {
+        let at = self.lock().available_at(&endpoint.id);
+        if cx.now >= at { Eligibility::Allowed } else { Eligibility::Until(at) }
+    }
+}
+
 fn decay_factor(now: Moment, updated_at: Moment) -> f64 {
     (-now.saturating_sub(updated_at).as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp()
 }
--- a/src/gateway/eligibility/mod.rs
+++ b/src/gateway/eligibility/mod.rs
@@ -6,3 +6,50 @@
 pub mod endpoint_limits;
 pub mod endpoints;
 pub mod health;
+
+use endpoints::Endpoint;
+
+use crate::ids::Moment;
+
+/// What a rule needs to know of a send, besides the endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendContext {
+    /// Time of the question.
+    pub now: Moment,
+    /// Number of entries that send to the same endpoints, this one included.
+    pub entries: usize,
+}
+
+/// Whether an endpoint may be sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Eligibility {
+    /// It may be sent to now.
+    Allowed,
+    /// It may not be sent to before this time.
+    Until(Moment),
+    /// It may not be sent to until something changes.
+    Never,
+}
+
+/// A reason for which endpoints may not be sent to.
+///
+/// ```
+/// use std::time::Duration;
+/// use bitternlead::gateway::eligibility::endpoints::Endpoint;
+/// use bitternlead::gateway::eligibility::health::Health;
+/// use bitternlead::gateway::eligibility::{Eligibility, EligibilityRule, SendContext};
+/// use parking_lot::Mutex;
+///
+/// let endpoint = Endpoint {
+///     id: "engine-1".into(), addr: "127.0.0.1:8080".parse().unwrap(), zone: "zone-1".into(), slots: 4,
+/// };
+/// let health = Mutex::new(Health::default());
+/// let cx = SendContext { now: Duration::from_secs(5), entries: 1 };
+/// assert_eq!(health.check(&cx, &endpoint), Eligibility::Allowed);
+/// health.lock().record_unreachable(cx.now, &endpoint.id);
+/// assert!(matches!(health.check(&cx, &endpoint), Eligibility::Until(_)));
+/// ```
+pub trait EligibilityRule: Send + Sync {
+    /// Says whether `endpoint` may be sent to.
+    fn check(&self, cx: &SendContext, endpoint: &Endpoint) -> Eligibility;
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,8 +15,9 @@
 use super::crash_watch::CheckedEndpoints;
 use super::dialect::Dialect;
 use super::eligibility::endpoint_limits::{EndpointLimits, LimitChange};
-use super::eligibility::endpoints::Endpoints;
+use super::eligibility::endpoints::{Endpoint, Endpoints};
 use super::eligibility::health::Health;
+use super::eligibility::{Eligibility, EligibilityRule, SendContext};
 use super::load::in_flight::{InFlightSend, InFlightSends, SendKey};
 use super::load::moving_average::MovingAverage;
 use super::placement::policy::Policy;
@@ -78,9 +79,12 @@
     /// Mean prefill backlog per engine over the last seconds, in milliseconds.
     pub smoothed_backlog: Mutex<MovingAverage>,
     /// Health of endpoints as this entry sees it.
-    pub health: Mutex<Health>,
+    pub health: Arc<Mutex<Health>>,
     /// Rates that endpoints name for all entries together.
-    pub limits: Mutex<EndpointLimits>,
+    pub limits: Arc<Mutex<EndpointLimits>>,
+    /// Rules that say which ready endpoints a request may be sent to, in the order in which they are
+    /// asked.
+    pub eligibility_rules: Vec<Arc<dyn EligibilityRule>>,
     /// Poison requests, as all entries know them.
     pub quarantine: Mutex<Quarantine>,
     /// Wakes the task that reports what this entry learns of poison requests.
@@ -107,6 +111,9 @@
     /// Builds the state of a gateway without configuration or endpoints.
     pub fn new(cfg: GatewaySettings, dialect: Arc<dyn Dialect>, log: Logger) -> Self {
         let budget = RetryBudget::new(cfg.budget.clone());
+        let (health, limits) =
+            (Arc::<Mutex<Health>>::default(), Arc::<Mutex<EndpointLimits>>::default());
+        let eligibility_rules: Vec<Arc<dyn EligibilityRule>> = vec![health.clone(), limits.clone()];
         Self {
             cfg,
             dialect,
@@ -117,8 +124,9 @@
             endpoints: Mutex::default(),
             in_flight: Mutex::default(),
             smoothed_backlog: Mutex::default(),
-            health: Mutex::default(),
-            limits: Mutex::default(),
+            health,
+            limits,
+            eligibility_rules,
             quarantine: Mutex::default(),
             quarantine_changed: Notify::new(),
             checked_endpoints: Mutex::default(),
@@ -164,6 +172,11 @@
         }
     }
 
+    /// Whether all rules allow a send to this endpoint.
+    pub fn is_eligible(&self, cx: &SendContext, endpoint: &Endpoint) -> bool {
+        self.eligibility_rules.iter().all(|rule| rule.check(cx, endpoint) == Eligibility::Allowed)
+    }
+
     /// Records and logs that an endpoint wants no requests from this entry for a time.
     pub fn record_named_time(&self, id: &EndpointId, named: Duration) {
         let time = self.health.lock().record_named_time(boot_now(), id, named);
