--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -37,13 +37,15 @@
 
 /// Returns a loopback address that no other test gets; the next port is reserved with it.
 ///
-/// The address is not probed: another thread's child process may inherit the probing socket, and
-/// the address would stay in use for a moment.
+/// Each test process listens on an address of its own, so that several of them can run on one host at
+/// the same time. The port is not probed: another thread's child process may inherit the probing
+/// socket, and the address would stay in use for a moment.
 pub fn free_address() -> SocketAddr {
     let step = NEXT_PORT.fetch_add(2, Ordering::Relaxed);
-    let start = (std::process::id() as u16).wrapping_mul(98);
-    let port = PORT_RANGE.0 + start.wrapping_add(step) % PORT_RANGE.1 / 2 * 2;
-    SocketAddr::from(([127, 0, 0, 1], port))
+    let port = PORT_RANGE.0 + step % PORT_RANGE.1;
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    // 127.0.0.1 is left to other programs.
+    SocketAddr::from(([127, 64 | high & 63, middle, low], port))
 }
 
 /// Attempts to start a process whose address is still in use.
