Drain availability zones, from the operator's call to the entries

Operators had no way to stop requests to a zone: the two calls were answered with 404. They commit the record drain/zone/NAME now; replicas publish the drained zones with their revision before any document, and a rule of the gateway keeps sends of every kind from endpoints of drained zones. A replica that lags behind its leader publishes neither, so that no entry starts with old drains.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -32,7 +32,7 @@
     Apply(ApplyOptions),
     /// Shows the status of the cluster.
     Status(StatusOptions),
-    /// Drains a host or endpoint.
+    /// Drains a host, an endpoint or an availability zone.
     Drain(DrainOptions),
     /// Sends an order to an endpoint or lists the orders.
     Order(OrderOptions),
@@ -255,11 +255,14 @@
 }
 
 operator_options! {
-    /// Drain a host or endpoint, or undo its drain.
+    /// Drain a host, an endpoint or an availability zone, or undo its drain.
     DrainOptions, "drain" {
         /// name of the host or endpoint
         #[argh(positional)]
-        pub target: String,
+        pub target: Option<String>,
+        /// availability zone to drain instead of a host or endpoint
+        #[argh(option)]
+        pub zone: Option<String>,
         /// undo the drain
         #[argh(switch)]
         pub undo: bool,
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -261,6 +261,9 @@
             line.versions.iter().map(|(v, n)| format!("{n} at version {v}")).collect();
         println!("  {zone:<16} {} nodes: {}", line.nodes, versions.join(", "));
     }
+    if !status.drained_zones.is_empty() {
+        println!("\ndrained availability zones: {}", status.drained_zones.join(", "));
+    }
     println!("\nendpoints");
     for e in &status.endpoints {
         let state = if e.leaving { "leaving" } else { "serving" };
@@ -277,15 +280,22 @@
     }
 }
 
-/// Drains a host or endpoint or undoes that, and with `--wait` waits until it is idle.
+/// Drains a host, an endpoint or an availability zone or undoes that, and with `--wait` waits until
+/// it is idle.
 ///
 /// # Errors
 /// Fails if control cannot be reached or rejects the change.
 pub async fn drain(options: DrainOptions) -> CommandResult {
+    if options.target.is_some() == options.zone.is_some() {
+        let text = "name a host or endpoint, or an availability zone with --zone";
+        return Err(CommandError::Input(text.into()));
+    }
     let client = OperatorClient::new(options.operators, options.operator_token)?;
+    let target = options.target.unwrap_or_default();
     let request = DrainRequest {
         operation: operation_id_or_random(options.operation),
-        target: options.target.clone(),
+        target: target.clone(),
+        zone: options.zone.clone(),
         undo: options.undo,
     };
     let reply: ChangeReply = client.call("POST", "/v1/drain", &request, &request.operation).await?;
@@ -297,9 +307,14 @@
     while started.elapsed() < WAIT_TIMEOUT {
         let status = read_status(&client).await?;
         let has_requests = |e: &crate::control::reports::EndpointLine| {
-            (e.name == options.target || e.leaving) && e.running + e.queued > 0
+            let is_named = e.name == target || options.zone.as_ref() == Some(&e.zone);
+            (is_named || e.leaving) && e.running + e.queued > 0
+        };
+        let mut listed = status.endpoints.iter();
+        let is_draining = match &options.zone {
+            Some(zone) => listed.all(|e| e.leaving || e.zone != *zone),
+            None => listed.any(|e| e.leaving),
         };
-        let is_draining = status.endpoints.iter().any(|e| e.leaving);
         if status.confirmed && is_draining && !status.endpoints.iter().any(has_requests) {
             println!("drained after {} ms", started.elapsed().as_millis());
             return Ok(ExitCode::Success);
--- a/src/config/fleet_config.rs
+++ b/src/config/fleet_config.rs
@@ -11,9 +11,12 @@
 use super::model::{FleetLimits, Model, Schedule, Server, Service, Workspace};
 use super::rules::{Rules, hash_key};
 use crate::findings::Findings;
-use crate::ids::{EndpointName, ModelName, Version, WorkspaceName};
+use crate::ids::{EndpointName, ModelName, Version, WorkspaceName, ZoneName};
 use crate::wire::ConfigRecord;
 
+/// Prefix of the keys of records that drain an availability zone; the name of the zone follows.
+pub const ZONE_DRAIN_PREFIX: &str = "drain/zone/";
+
 /// One version of the configuration, indexed for lookups.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetConfig {
@@ -31,6 +34,8 @@
     pub schedules: BTreeMap<SmolStr, Schedule>,
     /// Names of hosts and endpoints that operators drain.
     pub draining: BTreeSet<SmolStr>,
+    /// Availability zones that operators drain.
+    pub drained_zones: BTreeSet<ZoneName>,
     /// Limits of the whole fleet.
     pub limits: FleetLimits,
     /// Workspace names by the hash of a bearer key.
@@ -44,12 +49,16 @@
         self.workspaces.get(name).cloned()
     }
 
-    /// Whether an endpoint has to finish its requests and leave: it or its host is drained, or it
-    /// is not in the inventory.
+    /// Whether an endpoint has to finish its requests and leave: it, its host or its availability
+    /// zone is drained, or it is not in the inventory.
     pub fn is_leaving(&self, endpoint: &str) -> bool {
         match self.servers.get(endpoint) {
             None => true,
-            Some(s) => self.draining.contains(endpoint) || self.draining.contains(&s.host),
+            Some(s) => {
+                self.draining.contains(endpoint)
+                    || self.draining.contains(&s.host)
+                    || self.drained_zones.contains(&s.zone)
+            }
         }
     }
 
@@ -78,9 +87,16 @@
     }
 
     fn apply_record(&mut self, record: &ConfigRecord) -> bool {
+        let value = record.value.as_deref();
+        if let Some(zone) = record.key.strip_prefix(ZONE_DRAIN_PREFIX) {
+            match value {
+                Some(_) => self.drained_zones.insert(ZoneName::new(zone)),
+                None => self.drained_zones.remove(zone),
+            };
+            return true;
+        }
         let Some((kind, name)) = record.key.split_once('/') else { return false };
         let name = SmolStr::new(name);
-        let value = record.value.as_deref();
         match kind {
             "server" => apply_value(&mut self.servers, name, value),
             "model" => apply_value(&mut self.models, name, value),
--- a/src/control/config_records.rs
+++ b/src/control/config_records.rs
@@ -80,6 +80,12 @@
         ConfigDelta { version: self.version, full, records }
     }
 
+    /// Records whose keys begin with `prefix`, in the order of their keys, tombstones included.
+    pub fn with_prefix<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a ConfigRecord> {
+        let from = self.records.range(SmolStr::new(prefix)..);
+        from.take_while(move |(key, _)| key.starts_with(prefix)).map(|(_, record)| record)
+    }
+
     /// All records including tombstones, and the version up to which tombstones were dropped.
     pub fn export(&self) -> (Vec<ConfigRecord>, Version) {
         (self.records.values().cloned().collect(), self.removed_floor)
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -16,6 +16,7 @@
 use super::state::ControlState;
 use super::store::Store;
 use super::sync_queue::{QueuedSync, SyncQueue};
+use super::zone_drains;
 use crate::clock::{boot_now, wall_ms};
 use crate::config::FleetConfig;
 use crate::event;
@@ -54,6 +55,14 @@
     pub now: Moment,
 }
 
+impl CoreView<'_> {
+    /// Address of the leader, if another replica is known to lead.
+    pub fn other_leader(&self) -> Option<String> {
+        let leader = self.raft.leader().filter(|id| *id != self.raft.id())?;
+        self.raft.replicas().iter().find(|r| r.id == leader).map(|r| r.address.clone())
+    }
+}
+
 /// Closure that reads the state on the thread of the core.
 pub type ReadFn = Box<dyn FnOnce(CoreView<'_>) + Send>;
 
@@ -216,8 +225,8 @@
         Answer::NotLeader(replica.map(|r| r.address.clone()))
     }
 
-    /// Proposes a command; a document is refused while a quorum has fewer than
-    /// `min_document_copies` voters.
+    /// Proposes a command; a document and the drain of a zone are refused while a quorum has fewer
+    /// than `min_document_copies` voters.
     fn propose(
         &mut self,
         now: Moment,
@@ -226,7 +235,9 @@
     ) {
         command.wall_ms = wall_ms();
         let too_few_copies = self.raft.quorum() < self.cfg.min_document_copies;
-        if too_few_copies && matches!(command.kind, Some(command::Kind::Document(_))) {
+        let needs_copies = matches!(command.kind, Some(command::Kind::Document(_)))
+            || zone_drains::is_zone_drain(&command);
+        if too_few_copies && needs_copies {
             let _ = reply.send(Answer::NotLeader(None));
             return;
         }
@@ -444,15 +455,20 @@
     fn publish(&self) {
         let is_leader = self.raft.is_leader();
         let has_leader = is_leader || self.raft.leader().is_some();
+        let lags = !self.raft.is_caught_up();
         self.published.send_if_modified(|current| {
             let same = current.is_leader == is_leader
                 && current.has_leader == has_leader
+                && current.lags == lags
                 && current.document.version == self.state.document.version
+                && current.zone_drains.revision == self.state.config.version()
                 && current.replicas == self.raft.replicas();
             if !same {
                 let document = self.state.document.clone();
                 let replicas = self.raft.replicas().to_vec();
-                *current = Published { document, replicas, is_leader, has_leader };
+                let zone_drains = zone_drains::read(&self.state.config);
+                *current =
+                    Published { document, replicas, is_leader, has_leader, lags, zone_drains };
             }
             !same
         });
--- a/src/control/core_config.rs
+++ b/src/control/core_config.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::node_registry::NodeRegistryConfig;
-use crate::wire::{Document, Replica};
+use crate::wire::{Document, Replica, ZoneDrains};
 
 /// Settings of the core.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,8 +20,8 @@
     pub tick: Duration,
     /// Reaction to a failed write or sync of the data directory.
     pub on_write_error: OnWriteError,
-    /// Minimum number of replicas that must have synced a document before it is accepted; while a
-    /// quorum is smaller, documents are refused.
+    /// Minimum number of replicas that must have synced a document or the drain of a zone before it
+    /// is accepted; while a quorum is smaller, both are refused.
     pub min_document_copies: usize,
 }
 
@@ -46,6 +46,12 @@
     pub is_leader: bool,
     /// Whether this replica is the leader or knows one.
     pub has_leader: bool,
+    /// Whether more may be committed than this replica has applied, see [`Raft::is_caught_up`].
+    ///
+    /// [`Raft::is_caught_up`]: crate::raft::Raft::is_caught_up
+    pub lags: bool,
+    /// Drained availability zones as applied by this replica.
+    pub zone_drains: ZoneDrains,
 }
 
 impl Default for CoreConfig {
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -1,7 +1,7 @@
-//! Publishes updates to subscribers: the configuration document, announced endpoints, replicas and
-//! the load addresses of the other subscribers.
+//! Publishes updates to subscribers: the configuration document, drained zones, announced endpoints,
+//! replicas and the load addresses of the other subscribers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +51,8 @@
     /// Version of the newest document that was sent or offered to the subscriber, or that it
     /// already held.
     document_version: u64,
+    /// Revision of the drained zones that were sent to the subscriber; `None` before the first ones.
+    drains_revision: Option<u64>,
     /// Whether the subscriber fetches documents when their version is offered.
     fetches_documents: bool,
     tx: mpsc::Sender<News>,
@@ -65,18 +67,29 @@
         }
     }
 
-    /// Builds the part of an update that concerns the document: the document or the offer of it, if
-    /// it is newer than what the subscriber knows and this replica knows a leader.
-    fn document_update(&mut self, state: &Published) -> News {
-        let version = state.document.version;
-        if !state.has_leader || version <= self.document_version {
+    /// Builds the part of an update that concerns the replicated state: the drained zones, and the
+    /// document or the offer of it, where the subscriber does not know them yet.
+    ///
+    /// It is empty while this replica knows no leader, or less than its leader has committed. So a
+    /// subscriber knows the drains that were acknowledged when it gets its first document.
+    fn state_update(&mut self, state: &Published) -> News {
+        if !state.has_leader || state.lags {
             return News::default();
         }
+        let mut update = News::default();
+        if self.drains_revision.is_none_or(|sent| sent < state.zone_drains.revision) {
+            self.drains_revision = Some(state.zone_drains.revision);
+            update.zone_drains = Some(state.zone_drains.clone());
+        }
+        let version = state.document.version;
+        if version <= self.document_version {
+            return update;
+        }
         self.document_version = version;
         if self.fetches_documents {
-            return News { offered_version: version, ..News::default() };
+            return News { offered_version: version, ..update };
         }
-        News { document: Some(state.document.clone()), ..News::default() }
+        News { document: Some(state.document.clone()), ..update }
     }
 }
 
@@ -129,6 +142,12 @@
         self.inner.lock().directory.announcements()
     }
 
+    /// Availability zones of all known endpoints.
+    pub fn zones(&self) -> BTreeSet<String> {
+        let announcements = self.inner.lock().directory.announcements();
+        announcements.into_iter().map(|a| a.zone).filter(|zone| !zone.is_empty()).collect()
+    }
+
     /// Waits until the state of an endpoint has changed since the last call returned.
     pub async fn endpoints_changed(&self) {
         self.endpoints_changed.notified().await;
@@ -214,6 +233,7 @@
         let mut subscriber = Subscriber {
             load_address: subscribe.load_address,
             document_version: subscribe.document_version,
+            drains_revision: None,
             fetches_documents: subscribe.fetches_documents,
             tx,
             cx: conn.cx.clone(),
@@ -223,7 +243,7 @@
             full: true,
             quarantine: Some(inner.quarantine.report_all(boot_now())),
             replicas: published.replicas.clone(),
-            ..subscriber.document_update(&published)
+            ..subscriber.state_update(&published)
         };
         subscriber.send(initial);
         inner.subscribers.insert(conn.id, subscriber);
@@ -257,7 +277,7 @@
         }
     }
 
-    /// Publishes changes of the document and of the membership, and checks for silent endpoints,
+    /// Publishes changes of the document, the drained zones and the membership, and checks for silent endpoints,
     /// until cancelled.
     pub async fn run(self: Arc<Self>, cx: CancellationToken) {
         let mut published = self.published.clone();
@@ -288,13 +308,14 @@
         }
     }
 
-    /// Sends the membership to all subscribers, and the document to those that hold an older one.
+    /// Sends the membership to all subscribers, and the document and the drained zones to those that
+    /// know older ones.
     fn publish_state(&self, state: &Published) {
         let mut inner = self.inner.lock();
         inner.recent.add(&state.document);
         for subscriber in inner.subscribers.values_mut() {
             let replicas = state.replicas.clone();
-            let update = News { replicas, ..subscriber.document_update(state) };
+            let update = News { replicas, ..subscriber.state_update(state) };
             subscriber.send(update);
         }
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -29,3 +29,4 @@
 pub mod store;
 pub mod subscriber;
 pub mod sync_queue;
+pub mod zone_drains;
--- a/src/control/operators.rs
+++ b/src/control/operators.rs
@@ -3,7 +3,7 @@
 //! Every replica answers the status and the request to form a cluster. All else is answered by the
 //! leader alone; another replica refuses it and names the leader if it can.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
@@ -14,6 +14,7 @@
 
 use super::core::{Answer, CoreView, Input};
 use super::reports::{BurnLine, OrderLine, StatusReport};
+use super::zone_drains;
 use crate::config::{self, ConfigFile, fleet_config};
 use crate::http::{json, parse_json, read_body};
 use crate::wire::{Change, Command, ConfigRecord, Outcome, PlaceOrder, command};
@@ -40,13 +41,17 @@
     pub author: String,
 }
 
-/// Request to drain a host or endpoint, or to end its drain.
+/// Request to drain a host, an endpoint or an availability zone, or to end its drain.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct DrainRequest {
     /// Idempotency key of the operation, 1 to 128 bytes; a repeated request gets the first reply.
     pub operation: String,
-    /// Name of a host or endpoint of the inventory.
+    /// Name of a host or endpoint of the inventory; empty if `zone` is given.
+    #[serde(default)]
     pub target: String,
+    /// Name of an availability zone of the inventory.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
     /// Whether to end the drain instead of starting it.
     pub undo: bool,
 }
@@ -245,6 +250,14 @@
 
     async fn drain(self, req: Request) -> HandlerResult {
         let input: DrainRequest = read_json(req).await?;
+        if let Some(zone) = &input.zone {
+            if !input.target.is_empty() {
+                let text = "target and zone exclude each other; drain one after the other";
+                return Err(error_response(StatusCode::BAD_REQUEST, text));
+            }
+            let zone = zone.clone();
+            return self.drain_zone(input.operation, zone, !input.undo).await;
+        }
         let target = input.target.clone();
         let exists = self.read_confirmed(move |view| target_exists(view, &target)).await?;
         if !exists {
@@ -258,6 +271,18 @@
         self.propose(input.operation, command::Kind::Change(change)).await
     }
 
+    async fn drain_zone(self, operation: String, zone: String, drained: bool) -> HandlerResult {
+        let known = self.read_confirmed(known_zones).await?;
+        if !known.contains(&zone) {
+            let known: Vec<String> = known.into_iter().collect();
+            let text =
+                format!("no availability zone of this name; known are: {}", known.join(", "));
+            return Err(error_response(StatusCode::NOT_FOUND, &text));
+        }
+        let change = zone_drains::build_change(&zone, drained);
+        self.propose(operation, command::Kind::Change(change)).await
+    }
+
     async fn order(self, req: Request) -> HandlerResult {
         let OrderRequest { operation, endpoint, kind, argument } = read_json(req).await?;
         let order = PlaceOrder { endpoint, kind, argument };
@@ -315,11 +340,25 @@
     }
 }
 
-/// Whether the configuration has a host or endpoint of this name, or drains one.
-fn target_exists(view: &CoreView<'_>, target: &str) -> bool {
+/// Availability zones of the inventory and of the replicas, and those that were ever drained.
+fn known_zones(view: &CoreView<'_>) -> BTreeSet<String> {
+    let of_servers = read_fleet(view).servers.into_values().map(|s| s.zone.to_string());
+    let of_replicas = view.raft.replicas().iter().map(|r| r.zone.clone());
+    let recorded = zone_drains::recorded_zones(&view.state.config);
+    let all = of_servers.chain(of_replicas).chain(recorded);
+    all.filter(|zone| !zone.is_empty() && !zone.contains('/')).collect()
+}
+
+fn read_fleet(view: &CoreView<'_>) -> config::FleetConfig {
     let current = view.state.config.changes_since(0);
     let mut fleet = config::FleetConfig::default();
     fleet.apply(current.version, true, &current.records);
+    fleet
+}
+
+/// Whether the configuration has a host or endpoint of this name, or drains one.
+fn target_exists(view: &CoreView<'_>, target: &str) -> bool {
+    let fleet = read_fleet(view);
     fleet.servers.values().any(|s| s.name == target || s.host == target)
         || fleet.draining.contains(target)
 }
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::core::CoreView;
+use super::zone_drains;
 use crate::wire::{BurnCount, Order};
 
 /// State of the cluster as one replica sees it.
@@ -28,6 +29,9 @@
     pub replicas: Vec<ReplicaLine>,
     /// Nodes by availability zone; empty unless the replica leads.
     pub zones: BTreeMap<String, ZoneLine>,
+    /// Drained availability zones.
+    #[serde(default)]
+    pub drained_zones: Vec<String>,
     /// Endpoints in the order of their names; empty unless the replica leads.
     pub endpoints: Vec<EndpointLine>,
 }
@@ -122,6 +126,7 @@
             claims: view.state.claims.len(),
             replicas: replicas.collect(),
             zones,
+            drained_zones: zone_drains::read(&view.state.config).zones,
             endpoints,
         }
     }
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -18,7 +18,7 @@
 use super::peers::PeerSender;
 use super::state::ControlState;
 use super::store::Store;
-use super::{operators, server};
+use super::{operators, server, zone_drains};
 use crate::clock::boot_now;
 use crate::event;
 use crate::http::{self, Readiness};
@@ -144,13 +144,15 @@
         let state = read_core(&core, |view| {
             let knows_leader = view.raft.leader().is_some();
             let version = view.state.config.version();
-            (knows_leader, view.raft.is_leader(), view.state.applied_index, version)
+            let drained = zone_drains::read(&view.state.config).zones.len();
+            (knows_leader, view.raft.is_leader(), view.state.applied_index, version, drained)
         });
-        let Some((knows_leader, leads, applied, version)) = state.await else { return };
+        let Some((knows_leader, leads, applied, version, drained)) = state.await else { return };
         readiness.set(knows_leader);
         metrics.leader.set(i64::from(leads));
         metrics.applied_index.set(applied);
         metrics.config_version.set(version);
+        metrics.zones_drained.set(drained as i64);
         sleep(METRICS_INTERVAL).await;
     }
 }
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -1,6 +1,7 @@
 //! A control replica that forms and repairs its cluster without an operator and replicates the
 //! configuration document.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -14,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::bootstrap::{self, BootstrapService, REPORT_INTERVAL};
-use super::core::{Answer, Core, Input};
+use super::core::{Answer, Core, CoreView, Input};
 use super::core_config::{CoreConfig, OnWriteError, Published};
 use super::endpoint_file;
 use super::hub::{Hub, HubHandler};
@@ -24,6 +25,7 @@
 use super::server;
 use super::state::ControlState;
 use super::store::{OpenedStore, Store, StoreError};
+use super::zone_drains;
 use crate::clock::boot_now;
 use crate::event;
 use crate::http::Readiness;
@@ -64,8 +66,10 @@
     pub coordinator: Option<SocketAddr>,
     /// Addresses that are asked to let this replica join.
     pub seeds: SeedSource,
+    /// Availability zones that the settings of this process name.
+    pub zones: BTreeSet<String>,
     /// Number of disks that may be lost at the same time. The cluster aims at `2 * tolerance + 1`
-    /// voters and keeps a document on at least `tolerance + 1` of them.
+    /// voters and keeps a document, and each drain of a zone, on at least `tolerance + 1` of them.
     pub tolerance: usize,
     /// Time without an announcement after which an endpoint counts as silent.
     pub endpoint_timeout: Duration,
@@ -80,12 +84,23 @@
     TimedOut,
 }
 
+/// Why this replica did not drain a zone or end its drain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ZoneDrainError {
+    /// There is no such zone; the zones that exist.
+    UnknownZone(BTreeSet<String>),
+    /// The call was not answered.
+    Call(CallError),
+}
+
 /// Handle to a running replica; clones share the replica.
 #[derive(Clone)]
 pub struct ControlService {
     core: Sender<Input>,
     published: watch::Receiver<Published>,
     hub: Arc<Hub>,
+    /// Availability zones of the settings, with that of this host.
+    zones: BTreeSet<String>,
 }
 
 impl ControlService {
@@ -98,6 +113,8 @@
         log: Logger,
         cx: CancellationToken,
     ) -> Result<Self, RunError> {
+        let mut zones = cfg.zones.clone();
+        zones.insert(cfg.zone.clone());
         let link = build_link_config(&cfg.node, "control");
         let opened = open_store(&cfg, &log).await;
         let own = Replica {
@@ -162,7 +179,7 @@
         );
         tokio::spawn(updating);
         tokio::spawn(maintain_membership(published.clone(), own, cfg.seeds, link, cx));
-        Ok(Self { core: tx, published, hub })
+        Ok(Self { core: tx, published, hub, zones })
     }
 
     /// Hub to which announcements of endpoints are passed.
@@ -186,6 +203,56 @@
         self.call(|tx| Input::Propose(command, tx)).await
     }
 
+    /// Drains an availability zone or ends its drain; returns once the order is committed. Repeated
+    /// orders are committed again, so that an acknowledgement always means as many copies.
+    ///
+    /// # Errors
+    /// Only a confirmed leader knows that there is no such zone. Other errors are as for
+    /// [`ControlService::propose_document`].
+    pub async fn set_zone_drain(
+        &self,
+        zone: &str,
+        drained: bool,
+    ) -> Result<Outcome, ZoneDrainError> {
+        let is_name = !zone.is_empty() && !zone.contains('/');
+        let mut known = self.known_zones();
+        if !is_name {
+            return Err(ZoneDrainError::UnknownZone(known));
+        }
+        if !known.contains(zone) {
+            known.extend(self.recorded_zones().await.map_err(ZoneDrainError::Call)?);
+        }
+        if !known.contains(zone) {
+            return Err(ZoneDrainError::UnknownZone(known));
+        }
+        let kind = Some(command::Kind::Change(zone_drains::build_change(zone, drained)));
+        let command = Command { kind, ..Command::default() };
+        self.call(|tx| Input::Propose(command, tx)).await.map_err(ZoneDrainError::Call)
+    }
+
+    /// Zones of the settings, of the replicas and of the announced endpoints.
+    fn known_zones(&self) -> BTreeSet<String> {
+        let mut zones = self.hub.zones();
+        zones.extend(self.zones.iter().cloned());
+        zones.extend(self.published.borrow().replicas.iter().map(|r| r.zone.clone()));
+        zones.remove("");
+        zones
+    }
+
+    /// Zones of which the confirmed leader has a record.
+    async fn recorded_zones(&self) -> Result<Vec<String>, CallError> {
+        let read = |tx: oneshot::Sender<Answer<Vec<String>>>| {
+            Input::Read(Box::new(move |view: CoreView<'_>| {
+                let answer = match view.may_read {
+                    true => Answer::Done(zone_drains::recorded_zones(&view.state.config)),
+                    false => Answer::NotLeader(view.other_leader()),
+                };
+                let _ = tx.send(answer);
+            }))
+        };
+        self.call(read).await
+    }
+
     /// Reads the newest committed document.
     ///
     /// # Errors
@@ -206,6 +273,7 @@
             readiness.set(state.has_leader);
             metrics.leader.set(i64::from(state.is_leader));
             metrics.config_version.set(state.document.version);
+            metrics.zones_drained.set(state.zone_drains.zones.len() as i64);
             if self.published.changed().await.is_err() {
                 return;
             }
--- a/src/events.rs
+++ b/src/events.rs
@@ -68,6 +68,9 @@
     ConfigAwaited = 406, Info, "request waited for the first configuration";
     DocumentFetched = 407, Info, "configuration document fetched";
     DocumentFetchFailed = 408, Warning, "fetch of a configuration document failed";
+    ZoneDrainOrdered = 409, Info, "drain of an availability zone or its end committed";
+    ZoneDrainRefused = 410, Warning, "drain of an unknown availability zone refused";
+    ZoneDrainApplied = 411, Info, "drain of an availability zone in force or ended on this node";
     EndpointJoined = 500, Info, "endpoint joined";
     EndpointLeaving = 501, Info, "endpoint leaving";
     EndpointLost = 502, Warning, "endpoint lost";
--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -146,6 +146,9 @@
 
     /// Records the outcome of a send in the request and in the endpoint's health.
     pub fn record_send(&mut self, endpoint: &Endpoint, outcome: &SendOutcome) {
+        if matches!(outcome, SendOutcome::Withheld) {
+            return;
+        }
         let now = boot_now();
         let mut health = self.gateway.health.lock();
         self.tried.push(endpoint.id.clone());
@@ -156,6 +159,7 @@
                     health.record_failure(now, &endpoint.id);
                 }
             }
+            SendOutcome::Withheld => {}
             SendOutcome::NotSent(_) => health.record_unreachable(now, &endpoint.id),
             SendOutcome::NotRun(_) => {
                 self.sends += 1;
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -42,6 +42,9 @@
 /// Retry delay suggested when KV cache could not be reserved.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Retry delay suggested when all endpoints are in drained zones; operators drain zones for longer.
+const DRAINED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Destination of one send.
 pub struct Placement {
     /// Endpoint that receives the request.
@@ -123,12 +126,17 @@
         }
     }
 
-    /// Refuses the request if all endpoints of the service want no requests now, until the first of
-    /// them takes some again; otherwise one may be ready or reachable soon.
+    /// Refuses the request if all endpoints of the service are in drained zones or want no requests
+    /// now, until the first of them takes some again; otherwise one may be ready or reachable soon.
     fn choose_later(&self, now: Moment) -> Choice {
         let endpoints = self.gateway.endpoints.lock().ready_endpoints(&self.service.name);
+        let in_service: Vec<&Endpoint> =
+            endpoints.iter().filter(|e| !self.gateway.is_zone_drained(e)).collect();
+        if in_service.is_empty() && !endpoints.is_empty() {
+            return Choice::Refused(DRAINED_RETRY_AFTER, "the zones of all endpoints are drained");
+        }
         let health = self.gateway.health.lock();
-        let times = endpoints.iter().map(|e| health.unwilling_time(now, &e.id));
+        let times = in_service.iter().map(|e| health.unwilling_time(now, &e.id));
         match times.min() {
             Some(time) if !time.is_zero() => {
                 Choice::RefusedFor(time, "the endpoints want no requests now")
--- a/src/gateway/control_updates.rs
+++ b/src/gateway/control_updates.rs
@@ -59,6 +59,10 @@
         if let Some(report) = &update.quarantine {
             self.gateway.apply_quarantine_report(report, &name);
         }
+        // Comes before the document: without one, nothing is sent.
+        if let Some(drains) = &update.zone_drains {
+            self.gateway.apply_zone_drains(drains, &name);
+        }
         if let Some(document) = &update.document {
             self.gateway.apply_document(document, &name);
         }
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -82,6 +82,10 @@
 
 async fn check(gateway: Arc<Gateway>, endpoint: Endpoint) {
     sleep(CHECK_DELAY).await;
+    if !gateway.may_probe(&endpoint) {
+        gateway.checked_endpoints.lock().remove(&endpoint.id);
+        return;
+    }
     let connected = gateway.pool.connect(endpoint.addr).await;
     let suspects = gateway.checked_endpoints.lock().remove(&endpoint.id).unwrap_or_default();
     match connected {
--- a/src/gateway/eligibility/endpoint_limits.rs
+++ b/src/gateway/eligibility/endpoint_limits.rs
@@ -254,6 +254,11 @@
         let may_send = self.lock().may_send(cx.now, &endpoint.id, cx.entries, &mut rand::rng());
         if may_send { Eligibility::Allowed } else { Eligibility::Until(cx.now + REPORT_DELAY) }
     }
+
+    /// The limits are on requests; a probe sends none.
+    fn covers_probes(&self) -> bool {
+        false
+    }
 }
 
 fn encode(id: &EndpointId, state: &LimitState, now: Moment) -> EndpointLimit {
--- a/src/gateway/eligibility/health.rs
+++ b/src/gateway/eligibility/health.rs
@@ -122,6 +122,11 @@
         let at = self.lock().available_at(&endpoint.id);
         if cx.now >= at { Eligibility::Allowed } else { Eligibility::Until(at) }
     }
+
+    /// Probes find out whether an endpoint that refuses connections crashed.
+    fn covers_probes(&self) -> bool {
+        false
+    }
 }
 
 fn decay_factor(now: Moment, updated_at: Moment) -> f64 {
--- a/src/gateway/eligibility/mod.rs
+++ b/src/gateway/eligibility/mod.rs
@@ -6,6 +6,7 @@
 pub mod endpoint_limits;
 pub mod endpoints;
 pub mod health;
+pub mod zone_drains;
 
 use endpoints::Endpoint;
 
@@ -52,4 +53,9 @@
 pub trait EligibilityRule: Send + Sync {
     /// Says whether `endpoint` may be sent to.
     fn check(&self, cx: &SendContext, endpoint: &Endpoint) -> Eligibility;
+
+    /// Whether the rule also covers probes, which open a connection and send no request.
+    fn covers_probes(&self) -> bool {
+        true
+    }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -99,6 +99,7 @@
                     reason
                 }
             },
+            SendOutcome::Withheld => continue,
             SendOutcome::NotSent(reason) => {
                 failed_connects += 1;
                 if failed_connects < MAX_FAILED_CONNECTS {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -60,6 +60,8 @@
     Responded(Box<EndpointResponse>),
     /// No byte of the request was sent, for this reason.
     NotSent(Reason),
+    /// No byte of the request was sent, since the endpoint's zone is drained.
+    Withheld,
     /// The endpoint states that it did not run the request, with the status for the log.
     NotRun(Reason),
     /// The request may have run; the reason tells why its outcome is unknown.
@@ -78,6 +80,10 @@
 ) -> SendOutcome {
     let mut req = out.build();
     for _ in 0..MAX_IDLE_ATTEMPTS {
+        // The zone may have been drained while helpers granted memory or a connection was made.
+        if gateway.is_zone_drained(endpoint) {
+            return SendOutcome::Withheld;
+        }
         let Some(conn) = gateway.pool.take(endpoint.addr) else { break };
         match send_on(gateway, &endpoint.id, conn, req, id, limit).await {
             Ok(outcome) => return outcome,
@@ -88,6 +94,10 @@
         Ok(conn) => conn,
         Err(e) => return SendOutcome::NotSent(Reason::detailed("cannot connect", e)),
     };
+    if gateway.is_zone_drained(endpoint) {
+        gateway.pool.put(conn, None);
+        return SendOutcome::Withheld;
+    }
     match send_on(gateway, &endpoint.id, conn, req, id, limit).await {
         Ok(outcome) => outcome,
         Err(_) => SendOutcome::NotSent("a new connection was closed at once".into()),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use super::eligibility::endpoint_limits::{EndpointLimits, LimitChange};
 use super::eligibility::endpoints::{Endpoint, Endpoints};
 use super::eligibility::health::Health;
+use super::eligibility::zone_drains::{ZoneDrainChange, ZoneDrains};
 use super::eligibility::{Eligibility, EligibilityRule, SendContext};
 use super::load::in_flight::{InFlightSend, InFlightSends, SendKey};
 use super::load::moving_average::MovingAverage;
@@ -29,7 +30,7 @@
 use crate::ids::Moment;
 use crate::metrics::{ClassLabels, Metrics, RequestLabels};
 use crate::quarantine::Quarantine;
-use crate::wire::Document;
+use crate::wire::{self, Document};
 
 /// Settings that the gateway's decisions depend on.
 #[derive(Clone, Debug)]
@@ -82,6 +83,8 @@
     pub health: Arc<Mutex<Health>>,
     /// Rates that endpoints name for all entries together.
     pub limits: Arc<Mutex<EndpointLimits>>,
+    /// Availability zones that operators drain.
+    pub zone_drains: Arc<Mutex<ZoneDrains>>,
     /// Rules that say which ready endpoints a request may be sent to, in the order in which they are
     /// asked.
     pub eligibility_rules: Vec<Arc<dyn EligibilityRule>>,
@@ -113,7 +116,10 @@
         let budget = RetryBudget::new(cfg.budget.clone());
         let (health, limits) =
             (Arc::<Mutex<Health>>::default(), Arc::<Mutex<EndpointLimits>>::default());
-        let eligibility_rules: Vec<Arc<dyn EligibilityRule>> = vec![health.clone(), limits.clone()];
+        let zone_drains = Arc::<Mutex<ZoneDrains>>::default();
+        // The limits come last: they count each question as demand for the endpoint.
+        let eligibility_rules: Vec<Arc<dyn EligibilityRule>> =
+            vec![zone_drains.clone(), health.clone(), limits.clone()];
         Self {
             cfg,
             dialect,
@@ -126,6 +132,7 @@
             smoothed_backlog: Mutex::default(),
             health,
             limits,
+            zone_drains,
             eligibility_rules,
             quarantine: Mutex::default(),
             quarantine_changed: Notify::new(),
@@ -172,6 +179,34 @@
         }
     }
 
+    /// Applies and logs the drained zones that the control replica `from` reported.
+    pub fn apply_zone_drains(&self, update: &wire::ZoneDrains, from: &str) {
+        let mut drains = self.zone_drains.lock();
+        let changes = drains.apply(boot_now(), update);
+        self.metrics.zones_drained.set(drains.len() as i64);
+        drop(drains);
+        for change in changes {
+            let (zone, is_drained) = match &change {
+                ZoneDrainChange::Started(zone) => (zone.as_str(), true),
+                ZoneDrainChange::Ended(zone) => (zone.as_str(), false),
+            };
+            event!(self.log, ZoneDrainApplied, "zone" => zone, "drained" => is_drained,
+                "revision" => update.revision, "from" => from);
+        }
+    }
+
+    /// Whether the zone of an endpoint is drained.
+    pub fn is_zone_drained(&self, endpoint: &Endpoint) -> bool {
+        self.zone_drains.lock().is_drained(&endpoint.zone)
+    }
+
+    /// Whether all rules for probes allow a connection to this endpoint.
+    pub fn may_probe(&self, endpoint: &Endpoint) -> bool {
+        let cx = SendContext { now: boot_now(), entries: self.in_flight.lock().entry_count() };
+        let mut rules = self.eligibility_rules.iter().filter(|rule| rule.covers_probes());
+        rules.all(|rule| rule.check(&cx, endpoint) == Eligibility::Allowed)
+    }
+
     /// Whether all rules allow a send to this endpoint.
     pub fn is_eligible(&self, cx: &SendContext, endpoint: &Endpoint) -> bool {
         self.eligibility_rules.iter().all(|rule| rule.check(cx, endpoint) == Eligibility::Allowed)
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,8 @@
     pub in_flight: Gauge,
     /// Crashes of endpoints that this process noticed.
     pub crashes: Counter,
+    /// Availability zones that operators drain.
+    pub zones_drained: Gauge,
     /// Verdicts by which poison requests are refused.
     pub quarantined: Gauge,
     /// Version of the applied configuration.
@@ -90,6 +92,7 @@
             entries: Gauge::default(),
             in_flight: Gauge::default(),
             crashes: Counter::default(),
+            zones_drained: Gauge::default(),
             quarantined: Gauge::default(),
             config_version: Gauge::default(),
             lease: Gauge::default(),
@@ -117,6 +120,7 @@
         r.register("entries", "Entries that share their load", self.entries.clone());
         r.register("in_flight", "Requests under way", self.in_flight.clone());
         r.register("endpoint_crashes", "Crashes of endpoints noticed", self.crashes.clone());
+        r.register("zones_drained", "Zones that operators drain", self.zones_drained.clone());
         r.register("quarantined", "Kinds of poison request refused", self.quarantined.clone());
         r.register("config_version", "Configuration in force", self.config_version.clone());
         r.register("lease_held", "Configuration lease held", self.lease.clone());
--- a/src/node.rs
+++ b/src/node.rs
@@ -202,6 +202,7 @@
             LeaseEvent::Lost => event!(self.log, LeaseLost),
             LeaseEvent::ConfigApplied(version) => {
                 self.metrics.config_version.set(version);
+                self.metrics.zones_drained.set(self.config().drained_zones.len() as i64);
                 event!(self.log, ConfigApplied, "version" => version);
             }
             LeaseEvent::RecordUnreadable(key) => event!(self.log, ConfigUnreadable, "key" => key),
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -1,5 +1,5 @@
-//! HTTP API of control on the platform: the configuration document of operators, and the
-//! announcements of endpoints.
+//! HTTP API of control on the platform: the configuration document and the zone drains of operators,
+//! and the announcements of endpoints.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -13,15 +13,17 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use percent_encoding::percent_decode_str;
 use serde::Deserialize;
 use slog::Logger;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::document;
 use crate::control::relay::ControlRelay;
-use crate::control::service::{CallError, ControlService};
+use crate::control::service::{CallError, ControlService, ZoneDrainError};
 use crate::document::MAX_DOCUMENT_BYTES;
 use crate::event;
 use crate::wire::{Announcement, Document, Standing};
@@ -30,6 +32,8 @@
 const DOCUMENT_PATH: &str = "/api/config";
 /// Path prefix of announcements; the endpoint's id follows.
 const ANNOUNCE_PATH: &str = "/api/instances/";
+/// Path at which operators drain availability zones; a slash and the name of the zone follow.
+const DRAIN_PATH: &str = "/api/drain";
 /// Time within which the whole body of a request has to arrive.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept, for instance when the process has no file descriptor left.
@@ -152,6 +156,14 @@
         return Ok(text_response(StatusCode::BAD_REQUEST, "the body is not complete or too large"));
     };
     let body = body.to_bytes();
+    if let Some(zone) = drained_zone(&path) {
+        let drained = match head.method {
+            Method::POST => true,
+            Method::DELETE => false,
+            _ => return Ok(text_response(StatusCode::METHOD_NOT_ALLOWED, "use POST or DELETE")),
+        };
+        return Ok(set_zone_drain(&service, &log, &path, &zone, drained).await);
+    }
     let response = match (&head.method, path.strip_prefix(ANNOUNCE_PATH)) {
         (&Method::PUT, Some(id)) => announce(&service, &log, id, &body),
         (&Method::DELETE, Some(id)) => {
@@ -200,6 +212,42 @@
     }
 }
 
+/// Name of the zone in the path of a drain call; empty if there is none.
+fn drained_zone(path: &str) -> Option<String> {
+    let rest = path.strip_prefix(DRAIN_PATH)?;
+    let name = rest.strip_prefix('/');
+    if name.is_none() && !rest.is_empty() {
+        return None;
+    }
+    Some(percent_decode_str(name.unwrap_or_default()).decode_utf8_lossy().into_owned())
+}
+
+async fn set_zone_drain(
+    service: &ControlService,
+    log: &Logger,
+    path: &str,
+    zone: &str,
+    drained: bool,
+) -> HttpResponse {
+    // If the caller has closed the connection meanwhile, the server drops this call here. A caller
+    // that gave the call up may have sent another order since, which this one must not undo.
+    yield_now().await;
+    match service.set_zone_drain(zone, drained).await {
+        Ok(outcome) => {
+            event!(log, ZoneDrainOrdered, "zone" => zone, "drained" => drained,
+                "revision" => outcome.number);
+            json_response(Bytes::from_static(b"{}"))
+        }
+        Err(ZoneDrainError::UnknownZone(known)) => {
+            event!(log, ZoneDrainRefused, "zone" => zone, "drained" => drained);
+            let known: Vec<String> = known.into_iter().collect();
+            let text = format!("no such availability zone; known are: {}", known.join(", "));
+            text_response(StatusCode::UNPROCESSABLE_ENTITY, &text)
+        }
+        Err(ZoneDrainError::Call(e)) => redirect_to_leader(e, path),
+    }
+}
+
 async fn put_document(service: &ControlService, log: &Logger, body: Bytes) -> HttpResponse {
     let config = match document::decode(&body) {
         Ok(config) => config,
@@ -214,7 +262,7 @@
             event!(log, DocumentAccepted, "version" => version, "held" => outcome.number);
             json_response(Bytes::from_static(b"{}"))
         }
-        Err(e) => redirect_to_leader(e),
+        Err(e) => redirect_to_leader(e, DOCUMENT_PATH),
     }
 }
 
@@ -229,16 +277,16 @@
             }
         },
         Ok(_) => unavailable("there is no document yet"),
-        Err(e) => redirect_to_leader(e),
+        Err(e) => redirect_to_leader(e, DOCUMENT_PATH),
     }
 }
 
-fn redirect_to_leader(error: CallError) -> HttpResponse {
+fn redirect_to_leader(error: CallError, path: &str) -> HttpResponse {
     let leader = match error {
         CallError::NotLeader(address) => address,
         CallError::TimedOut => None,
     };
-    redirect(leader, DOCUMENT_PATH, "the leader answers this")
+    redirect(leader, path, "the leader answers this")
 }
 
 fn redirect(address: Option<String>, path: &str, reason: &str) -> HttpResponse {
--- a/src/platform/roles.rs
+++ b/src/platform/roles.rs
@@ -109,6 +109,7 @@
     ServiceSettings {
         node: settings.node.to_string(),
         zone: settings.zone.to_string(),
+        zones: settings.zones.keys().map(|zone| zone.to_string()).collect(),
         listen: settings.control_address(),
         operators,
         data,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,5 +1,6 @@
 //! Settings file, in JSON, that the platform writes for each process.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -12,6 +13,7 @@
 use crate::control::service::SeedSource;
 use crate::findings::{Findings, Place};
 use crate::gateway::budget::BudgetConfig;
+use crate::ids::ZoneName;
 
 /// Environment variable with the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "BITTERNLEAD_SETTINGS";
@@ -26,6 +28,8 @@
     pub node: SmolStr,
     /// Availability zone of this host.
     pub zone: SmolStr,
+    /// Availability zones with the region of each; empty if the file names none.
+    pub zones: BTreeMap<ZoneName, SmolStr>,
     /// Address of this host; listeners without an address of their own bind to it.
     pub ip: IpAddr,
     /// Address for callers; set for entries only.
@@ -100,6 +104,7 @@
         let settings = Self {
             node: fields.text("/NodeName"),
             zone: fields.text("/Zone"),
+            zones: fields.text_table("/Zones"),
             ip: fields.parse("/Ip").unwrap_or(IpAddr::from([127, 0, 0, 1])),
             callers_address: fields.parse_optional("/Listen/Frontend"),
             readiness_address: fields.parse_optional("/Listen/Ready"),
@@ -238,6 +243,28 @@
         port.unwrap_or_default()
     }
 
+    /// Table from names to strings; empty if missing.
+    fn text_table(&mut self, pointer: &str) -> BTreeMap<SmolStr, SmolStr> {
+        let table = match self.value.pointer(pointer) {
+            None | Some(Value::Null) => return BTreeMap::new(),
+            Some(value) => value.as_object(),
+        };
+        let Some(table) = table else {
+            self.add(pointer, "expected a table of strings");
+            return BTreeMap::new();
+        };
+        let mut read = BTreeMap::new();
+        for (name, value) in table {
+            match value.as_str() {
+                Some(text) => {
+                    read.insert(SmolStr::new(name), SmolStr::new(text));
+                }
+                None => self.add(&format!("{pointer}/{name}"), "expected a string"),
+            }
+        }
+        read
+    }
+
     fn flag(&self, pointer: &str) -> bool {
         self.value.pointer(pointer).and_then(Value::as_bool).unwrap_or(false)
     }
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -126,6 +126,8 @@
     leader: Option<ReplicaId>,
     log: RaftLog,
     commit_index: Index,
+    /// Highest commit index that a leader named since the process started.
+    heard_commit_index: Index,
     /// When a message of a leader of the current term last arrived.
     leader_heard_at: Moment,
     election_deadline: Moment,
@@ -169,6 +171,7 @@
             role: Role::Follower,
             leader: None,
             commit_index: log.snapshot_index(),
+            heard_commit_index: 0,
             log,
             leader_heard_at: now,
             election_deadline: now,
@@ -297,6 +300,13 @@
         }
     }
 
+    /// Whether this replica knows everything that was committed up to the last message of its
+    /// leader: it has committed an entry of the current term, and all that the leader has named.
+    pub fn is_caught_up(&self) -> bool {
+        self.commit_index >= self.heard_commit_index
+            && self.log.term_of(self.commit_index) == Some(self.term)
+    }
+
     /// Whether this leader may answer reads from its own state.
     ///
     /// An entry of its own term must be committed, and a quorum must have acknowledged it within
--- a/src/raft/replication.rs
+++ b/src/raft/replication.rs
@@ -122,6 +122,7 @@
         if !self.follow_leader(now, from) {
             return;
         }
+        self.heard_commit_index = self.heard_commit_index.max(msg.commit);
         if let Some(hint) = self.find_conflict_hint(msg.prev_index, msg.prev_term) {
             self.send(from, append_reply(false, hint, msg.round));
             return;
@@ -231,6 +232,7 @@
         if !self.follow_leader(now, from) {
             return;
         }
+        self.heard_commit_index = self.heard_commit_index.max(msg.last_index);
         if msg.last_index <= self.commit_index {
             self.send(from, install_reply(&msg, 0, true));
             return;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -935,6 +935,19 @@
     /// What was reported of poison requests.
     #[prost(message, optional, tag = "8")]
     pub quarantine: ::core::option::Option<QuarantineReport>,
+    /// Drained availability zones, in the first message of a replica that knows a leader and after each
+    /// change.
+    #[prost(message, optional, tag = "9")]
+    pub zone_drains: ::core::option::Option<ZoneDrains>,
+}
+/// All availability zones that operators drain. Of several the one with the highest revision is in
+/// force; the revision is the version of the configuration records.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ZoneDrains {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub zones: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// What a process knows of poison requests: all of it, or what changed. Keys are hashes of properties
 /// of requests.
--- a/tests/platform_words.rs
+++ b/tests/platform_words.rs
@@ -26,6 +26,7 @@
     "kvcapacity",
     "pathprefix",
     "/api/config",
+    "/api/drain",
     "/api/instances",
     "/api/order",
     "/api/report",
