--- a/src/gateway/load/in_flight.rs
+++ b/src/gateway/load/in_flight.rs
@@ -56,6 +56,14 @@
     pub prefill_ended_at: Option<Moment>,
 }
 
+impl InFlightSend {
+    /// Whether the endpoint has nothing left to prefill: the stream has begun, or a helper only holds
+    /// KV cache for it.
+    pub fn has_ended_prefill(&self) -> bool {
+        self.written_tokens > 0 || self.prefill_ms == 0.0
+    }
+}
+
 struct LocalSend {
     number: SendNumber,
     send: InFlightSend,
@@ -139,6 +147,19 @@
         is_first
     }
 
+    /// Records that the prefill of a shared prompt has ended at a helper. What remains of its send is
+    /// the KV cache that the helper holds until the stream ends.
+    pub fn end_helper_prefill(&mut self, now: Moment, key: SendKey) {
+        let Some(LocalSend { send, .. }) = self.local.get_mut(key) else { return };
+        if send.held_tokens == 0 {
+            self.remove(now, key);
+            return;
+        }
+        self.ended_prefills.record(now, send);
+        (send.prefill_tokens, send.prefill_ms) = (0, 0.0);
+        self.changed.push(key);
+    }
+
     /// Returns a send of this entry for an update. Other entries learn of the update only after
     /// [`Self::mark_changed`].
     pub fn get_mut(&mut self, key: SendKey) -> Option<&mut InFlightSend> {
@@ -188,7 +209,7 @@
         };
         self.apply_changes(now, &load, &mut sends);
         for (number, before) in &replaced {
-            let is_in_prefill = |send: &InFlightSend| same_run && send.written_tokens == 0;
+            let is_in_prefill = |send: &InFlightSend| same_run && !send.has_ended_prefill();
             if !sends.get(number).is_some_and(is_in_prefill) {
                 self.ended_prefills.record(now, before);
             }
@@ -221,8 +242,8 @@
                 number => number,
             };
             for (number, send) in decode_flight(flight, number, now) {
-                let has_output = send.written_tokens > 0;
-                if let Some(before) = sends.insert(number, send).filter(|_| has_output) {
+                let has_ended = send.has_ended_prefill();
+                if let Some(before) = sends.insert(number, send).filter(|_| has_ended) {
                     self.ended_prefills.record(now, &before);
                 }
             }
--- a/src/gateway/placement/engine_state.rs
+++ b/src/gateway/placement/engine_state.rs
@@ -130,6 +130,9 @@
         let mut awaiting_prefill: Vec<&InFlightSend> = Vec::new();
         for f in sends.iter().filter(|f| f.prefill_ended_at.is_none()) {
             state.memory_used_tokens += f.held_tokens;
+            if f.is_helper && f.has_ended_prefill() {
+                continue;
+            }
             let stream = StreamState {
                 context_tokens: f.prompt_tokens + f.written_tokens,
                 pause_limit_ms: f.pause_limit_ms,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -290,15 +290,15 @@
         }
     }
 
-    /// Adds tokens to the output of the stream. The first ones end its prefill, so the helpers'
-    /// sends are removed.
+    /// Adds tokens to the output of the stream. The first ones end its prefill, so that helpers only
+    /// hold KV cache from then on, if any.
     pub fn add_output(&self, tokens: u64) {
         let mut in_flight = self.gateway.in_flight.lock();
         let Some((first, helpers)) = self.keys.split_first() else { return };
         let now = boot_now();
         if in_flight.add_output(now, *first, tokens) {
             for key in helpers {
-                in_flight.remove(now, *key);
+                in_flight.end_helper_prefill(now, *key);
             }
             drop(in_flight);
             self.gateway.load_changed.notify_one();
--- a/tests/emulator/fleet.rs
+++ b/tests/emulator/fleet.rs
@@ -397,8 +397,8 @@
             in_flight.mark_changed(s.keys[0]);
         }
         if starts {
-            for key in s.keys.drain(1..) {
-                in_flight.remove(moment, key);
+            for key in s.keys.iter().skip(1).copied() {
+                in_flight.end_helper_prefill(moment, key);
             }
         }
         let entry = s.entry;
--- a/tests/load_exchange.rs
+++ b/tests/load_exchange.rs
@@ -8,6 +8,8 @@
     InFlightSend, InFlightSends, LoadChanges, ReportOutcome, SendKey,
 };
 use bitternlead::gateway::load::load_exchange::{LoadPeers, SendPacer};
+use bitternlead::gateway::placement::engine_model::EngineModel;
+use bitternlead::gateway::placement::engine_state::EngineState;
 use bitternlead::wire::SharedLoad;
 use proptest::prelude::*;
 use prost::Message;
@@ -294,3 +296,44 @@
     other.apply_report(ms(99), restarted);
     assert_eq!(other.all().count(), 0);
 }
+
+/// Guards against helpers that count as empty while they hold KV cache of a stream, and are given more
+/// than their memory.
+#[test]
+fn helpers_count_with_the_memory_that_they_hold_until_the_stream_ends() {
+    let (mut own, mut other) = (InFlightSends::default(), InFlightSends::default());
+    let held = |tokens: u64, is_helper: bool| InFlightSend {
+        held_tokens: tokens,
+        prefill_ms: 500.0,
+        prefill_tokens: 100_000,
+        shared: true,
+        is_helper,
+        ..send(3)
+    };
+    let primary = own.insert(held(400_000, false));
+    let holder = own.insert(held(60_000, true));
+    let reader = own.insert(held(0, true));
+    let report = |own: &mut InFlightSends, other: &mut InFlightSends, seq: u64, now: Duration| {
+        let LoadChanges { flights, ended } = own.take_changes(now);
+        let load = SharedLoad { seq, partial: seq > 1, flights, ended, ..template() };
+        assert_eq!(other.apply_report(now, load), ReportOutcome::Applied);
+    };
+    report(&mut own, &mut other, 1, ms(5));
+    own.add_output(ms(900), primary, 46);
+    own.end_helper_prefill(ms(900), holder);
+    own.end_helper_prefill(ms(900), reader);
+    report(&mut own, &mut other, 2, ms(905));
+    let model = EngineModel::default();
+    for sends in [&own, &other] {
+        let helper_sends: Vec<&InFlightSend> = sends.all().filter(|f| f.is_helper).collect();
+        let state = EngineState::from_sends("e".into(), &model, ms(910), &helper_sends);
+        assert_eq!(state.memory_used_tokens, 60_000);
+        assert_eq!((state.request_count, state.pending.len(), state.decoding.len()), (0, 0, 0));
+        assert_eq!(sends.ended_prefills().count(), 3, "all three read until then");
+    }
+    own.remove(ms(2_000), primary);
+    own.remove(ms(2_000), holder);
+    report(&mut own, &mut other, 3, ms(2_005));
+    assert_eq!((own.all().count(), other.all().count()), (0, 0));
+    assert_eq!(other.ended_prefills().count(), 3, "the end of the stream ends no prefill");
+}
