Bound the memory held for slow readers and large bodies

Cause: bodies, collected answers and stream queues each had a bound, but no joint one, and a caller that stopped reading kept its answer for ever. Many at once exceeded the memory of a host.

Change: one byte budget with a share for each kind (gateway::memory_budget), sized by Limits.MemoryMb less 64 MB. Bodies are admitted by declared or growing size, wait at most 0.5 s and are refused unrun. Charges are tied to the bytes and end when these were written. Streams hold at most 64 KiB until it was written to the caller. A caller that reads nothing is disconnected after 5 s and the time of one step of a reader of 16 KiB/s (at most 9 s in all). An endpoint that cuts off an answer that a slow caller left unread does not count as failing.

--- a/src/events.rs
+++ b/src/events.rs
@@ -108,6 +108,8 @@
     QuarantineFileUnusable = 625, Warning, "file of poison requests not read or written";
     EndpointSaidItLeaves = 626, Info, "endpoint said in an answer that it leaves";
     EndpointNamedTime = 627, Info, "endpoint wants no requests for a time";
+    MemoryRefused = 640, Warning, "no memory for the body of a request";
+    CallerNotReading = 641, Warning, "caller read nothing, disconnected";
     DocumentAccepted = 620, Info, "configuration document accepted";
     DocumentRefused = 621, Warning, "configuration document refused";
     AnnouncementRefused = 622, Warning, "announcement refused";
--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use super::choose::Placement;
+use super::collect::{CollectError, Collected, collect};
 use super::config::{GatewayConfig, RetryPolicy, Route, Service};
 use super::crash_watch::{self, Suspect, tells_its_end};
 use super::dialect::{CallerHead, SendOptions};
@@ -209,20 +209,21 @@
         response: EndpointResponse,
         endpoint: &Endpoint,
     ) -> Result<Response<ResponseBody>, Reason> {
-        let EndpointResponse { parts, head, body, conn } = response;
-        let limited = Limited::new(body, MAX_ANSWER_BYTES);
-        let collected = timeout(self.remaining(), limited.collect()).await;
-        let body = match collected {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+        let EndpointResponse { parts, head, mut body, conn } = response;
+        let (memory, limit) = (&self.gateway.memory, self.remaining());
+        let collected = collect(memory, &mut body, Collected::Answer, MAX_ANSWER_BYTES, limit);
+        let body = match timeout(limit, collected).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(CollectError::TooLarge)) => {
                 self.gateway.health.lock().record_failure(boot_now(), &endpoint.id);
                 return Err("the answer is too large".into());
             }
-            Ok(Err(e)) => {
+            Ok(Err(CollectError::Broken(e))) => {
                 self.gateway.health.lock().record_failure(boot_now(), &endpoint.id);
                 self.suspect_crash(endpoint);
-                return Err(Reason::detailed("the answer broke off", error_chain(e.as_ref())));
+                return Err(Reason::detailed("the answer broke off", error_chain(&e)));
             }
+            Ok(Err(CollectError::NoRoom)) => return Err("no memory for the answer".into()),
             Err(_) => return Err("the answer did not end in time".into()),
         };
         if !head.closes_connection {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use super::active_request::ActiveRequest;
+use super::caller_stream::CallerConnection;
 use super::choose::Choice;
 use super::intake;
 use super::relay;
@@ -32,6 +33,9 @@
     let (head, body) = req.into_parts();
     let caller = gateway.dialect.decode_caller(&head);
     let id = caller.id.clone();
+    if let Some(connection) = head.extensions.get::<Arc<CallerConnection>>() {
+        connection.set_request(&id);
+    }
     let mut response = match intake::admit(&gateway, head, body, caller).await {
         Ok(req) => serve(req).await,
         Err(refusal) => refusal,
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -5,21 +5,33 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use tokio::time::timeout;
 
 use super::active_request::ActiveRequest;
+use super::collect::{CollectError, Collected, collect, discard};
 use super::config::{GatewayConfig, Route, Service, Workspace};
 use super::crash_watch;
 use super::dialect::CallerHead;
-use super::responses::{ResponseBody, default_retry_after, refuse, reject};
+use super::memory_budget::HeldKind;
+use super::responses::{ResponseBody, default_retry_after, jittered_retry_after, refuse, reject};
 use super::startup;
 use super::state::Gateway;
 use crate::clock::boot_now;
+use crate::event;
 use crate::ids::Moment;
 
+/// Maximum wait for room in the memory budget before a request is refused. Its caller needs the rest
+/// of its time to come back.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(500);
+
+/// Fraction of a caller's time that it may wait for room in the memory budget.
+const ROOM_WAIT_SHARE: f64 = 0.25;
+
+/// Retry delay suggested when a body found no room.
+const ROOM_RETRY_AFTER: Duration = Duration::from_millis(1000);
+
 /// Response to a request that is refused or rejected.
 type Refusal = Response<ResponseBody>;
 
@@ -94,21 +106,33 @@
     found.map(Some).ok_or(UnknownKey)
 }
 
-/// Reads the whole body within the limits of the configuration.
+/// Reads the whole body within the limits of the configuration and the memory budget.
 async fn read_body(
     gateway: &Gateway,
     config: &GatewayConfig,
     caller: &CallerHead,
-    body: Incoming,
+    mut body: Incoming,
     limit: Duration,
 ) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, config.limits.body_bytes);
-    let (status, reason) = match timeout(limit, limited.collect()).await {
-        Ok(Ok(body)) => return Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+    let wait = MAX_ROOM_WAIT.min(limit.mul_f64(ROOM_WAIT_SHARE));
+    let max = config.limits.body_bytes;
+    let collected = collect(&gateway.memory, &mut body, Collected::Request, max, wait);
+    let (status, reason) = match timeout(limit, collected).await {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(CollectError::TooLarge)) => {
+            discard(body);
             (StatusCode::PAYLOAD_TOO_LARGE, "body too large")
         }
-        Ok(Err(_)) => (StatusCode::BAD_REQUEST, "body not complete"),
+        Ok(Err(CollectError::NoRoom)) => {
+            event!(gateway.log, MemoryRefused, "request" => caller.id.as_str(),
+                "bodies" => gateway.memory.held(HeldKind::Body),
+                "large_bodies" => gateway.memory.held(HeldKind::LargeBody),
+                "wait_ms" => wait.as_millis() as u64);
+            discard(body);
+            let after = jittered_retry_after(ROOM_RETRY_AFTER, limit);
+            return Err(refuse(gateway, &caller.id, "no memory for the body", after));
+        }
+        Ok(Err(CollectError::Broken(_))) => (StatusCode::BAD_REQUEST, "body not complete"),
         Err(_) => (StatusCode::REQUEST_TIMEOUT, "body too slow"),
     };
     Err(reject(gateway, caller, status, reason, config))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,9 @@
 
 pub mod active_request;
 pub mod budget;
+pub mod caller_stream;
 pub mod choose;
+pub mod collect;
 pub mod config;
 pub mod control_updates;
 pub mod crash_watch;
@@ -13,6 +15,7 @@
 pub mod handler;
 pub mod intake;
 pub mod load;
+pub mod memory_budget;
 pub mod placement;
 pub mod pool;
 pub mod reason;
@@ -23,3 +26,4 @@
 pub mod send;
 pub mod startup;
 pub mod state;
+pub mod stream_window;
--- a/src/gateway/placement/policy.rs
+++ b/src/gateway/placement/policy.rs
@@ -30,6 +30,9 @@
     pub load_exchange: bool,
     /// Requests wait for the first configuration after a start.
     pub wait_for_config: bool,
+    /// Bodies and answers are held within a budget where the settings name a memory limit, and
+    /// callers that read nothing are disconnected.
+    pub memory_budget: bool,
 }
 
 impl Default for Policy {
@@ -48,6 +51,7 @@
             health_estimates: true,
             load_exchange: true,
             wait_for_config: true,
+            memory_budget: true,
         }
     }
 }
@@ -98,6 +102,7 @@
             ("health-estimates", &mut self.health_estimates),
             ("load-exchange", &mut self.load_exchange),
             ("wait-for-config", &mut self.wait_for_config),
+            ("memory-budget", &mut self.memory_budget),
         ]
     }
 }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
@@ -33,6 +33,13 @@
 /// Margin by which an idle connection is given up before the endpoint would close it.
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Size of the kernel's receive buffer of a connection where memory is bounded, in bytes. An answer
+/// that is not read yet counts towards the memory of this process.
+const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+
+/// Maximum number of unsent bytes that the kernel takes for a connection where memory is bounded.
+pub const MAX_UNSENT_BYTES: u32 = 64 * 1024;
+
 /// A connection to an endpoint, closed when dropped.
 pub struct Connection {
     /// Handle that sends requests on the connection.
@@ -57,9 +64,15 @@
 #[derive(Default)]
 pub struct Pool {
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    bounds_buffers: bool,
 }
 
 impl Pool {
+    /// Builds an empty pool; `bounds_buffers` says whether the kernel's buffers are bounded too.
+    pub fn new(bounds_buffers: bool) -> Self {
+        Self { bounds_buffers, ..Self::default() }
+    }
+
     /// Takes an idle connection that is still open.
     pub fn take(&self, addr: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock();
@@ -78,9 +91,12 @@
     /// # Errors
     /// Fails if the connection is not established within `CONNECT_TIMEOUT`; nothing was sent.
     pub async fn connect(&self, addr: SocketAddr) -> std::io::Result<Connection> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
+        let stream = timeout(CONNECT_TIMEOUT, self.connect_stream(addr)).await??;
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
+        if self.bounds_buffers {
+            socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES)?;
+        }
         socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
         let keepalive = TcpKeepalive::new()
             .with_time(KEEPALIVE_INTERVAL)
@@ -97,6 +113,16 @@
         Ok(Connection { sender, addr, task: task.abort_handle() })
     }
 
+    async fn connect_stream(&self, addr: SocketAddr) -> std::io::Result<TcpStream> {
+        if !self.bounds_buffers {
+            return TcpStream::connect(addr).await;
+        }
+        let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        // The size has to be set before the connection announces its window.
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        socket.connect(addr).await
+    }
+
     /// Returns a connection to the pool after a complete response.
     ///
     /// `keep_alive` is the time that the endpoint keeps idle connections open.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,15 +1,16 @@
 //! Forwards an event stream to the caller and resumes it at another engine if it breaks off.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Response, header};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use tokio::sync::mpsc;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::active_request::ActiveRequest;
+use super::caller_stream::CallerConnection;
 use super::choose::Placement;
 use super::config::RetryPolicy;
 use super::crash_watch::tells_its_end;
@@ -19,14 +20,12 @@
 use super::responses::ResponseBody;
 use super::send::{EndpointResponse, SendOutcome, error_chain, send};
 use super::state::InFlightGuard;
+use super::stream_window::{EventSender, Forwarded, event_queue};
 use crate::clock::boot_now;
 use crate::event;
 use crate::ids::Moment;
 use crate::metrics::ClassLabels;
 
-/// Maximum number of events buffered for a caller that reads slowly.
-const MAX_BUFFERED_EVENTS: usize = 8;
-
 /// Minimum idle time within a stream before it fails over to another engine.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -39,16 +38,18 @@
 /// Time after the first event from which a stream counts as answered without a crash.
 const ANSWERED_TIME: Duration = Duration::from_millis(1000);
 
+/// Wait for a caller from which on it, and not the endpoint, is taken to be the reason when the
+/// endpoint then breaks off: endpoints cut off answers that stay unread.
+const SLOW_CALLER_WAIT: Duration = Duration::from_millis(1000);
+
 /// Value of the log field `ended` for a stream that was forwarded completely.
 const COMPLETE: &str = "complete";
 
-type EventSender = mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>;
-
 /// Outcome of one engine's segment of a stream.
 enum SegmentEnd {
     /// The stream is complete.
     Complete,
-    /// The caller closed the connection.
+    /// The caller closed the connection, or was disconnected.
     CallerGone,
     /// The engine's stream broke off, for this reason.
     Broken(String),
@@ -75,9 +76,15 @@
     first_at: Option<Duration>,
     last_event_at: Duration,
     longest_pause: Duration,
+    /// Longest wait for the caller to read within the present segment.
+    longest_caller_wait: Duration,
 }
 
 impl Progress {
+    fn is_caller_slow(&self) -> bool {
+        self.longest_caller_wait >= SLOW_CALLER_WAIT
+    }
+
     fn record_event(&mut self) {
         let now = boot_now();
         if self.events > 0 {
@@ -91,20 +98,20 @@
 
 /// Starts to forward a stream and returns the head of the response to the caller.
 pub fn start(
-    req: ActiveRequest,
+    mut req: ActiveRequest,
     placement: Placement,
     response: EndpointResponse,
 ) -> Response<ResponseBody> {
-    let (tx, rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
-    let stream = futures::stream::unfold(rx, |mut rx| async move {
-        let item = rx.recv().await?;
-        Some((item, rx))
-    });
-    let mut forwarded = Response::new(BodyExt::boxed(StreamBody::new(Box::pin(stream))));
+    let (tx, body) = event_queue(Arc::clone(&req.gateway.memory));
+    let mut forwarded = Response::new(body);
     *forwarded.status_mut() = response.parts.status;
     *forwarded.headers_mut() = req.gateway.dialect.encode_response(&response.parts.headers);
     forwarded.headers_mut().remove(header::CONTENT_LENGTH);
     let segment = build_segment(placement, response);
+    if req.route.retry_policy == RetryPolicy::Never {
+        // The body is not sent again, so its memory is freed before the stream ends.
+        req.body = Bytes::new();
+    }
     tokio::spawn(run(req, segment, tx));
     forwarded
 }
@@ -129,21 +136,23 @@
         first_at: None,
         last_event_at: Duration::ZERO,
         longest_pause: Duration::ZERO,
+        longest_caller_wait: Duration::ZERO,
     };
     let mut next = Some(segment);
     let mut ended = COMPLETE;
     while let Some(segment) = next.take() {
         let endpoint = segment.endpoint.clone();
+        progress.longest_caller_wait = Duration::ZERO;
         let end = forward_segment(&mut req, segment, &tx, &mut progress).await;
         let reason = match end {
             SegmentEnd::Complete => break,
             SegmentEnd::CallerGone => {
-                ended = "caller left";
+                ended = if is_stalled(&req) { "caller read nothing" } else { "caller left" };
                 break;
             }
             SegmentEnd::DeadlinePassed => {
                 ended = "time is up";
-                let _ = tx.send(Err(std::io::Error::other(ended))).await;
+                tx.fail(ended).await;
                 break;
             }
             SegmentEnd::FailedOver(segment) => {
@@ -153,7 +162,9 @@
             }
             SegmentEnd::Broken(reason) => reason,
         };
-        req.gateway.health.lock().record_failure(boot_now(), &endpoint.id);
+        if !progress.is_caller_slow() {
+            req.gateway.health.lock().record_failure(boot_now(), &endpoint.id);
+        }
         req.may_have_run = true;
         next = resume(&mut req, &tx, &progress, &reason).await;
         if next.is_none() {
@@ -161,7 +172,7 @@
             event!(req.gateway.log, StreamBroken, "request" => req.caller.id.as_str(),
                 "endpoint" => endpoint.id.as_str(), "reason" => reason,
                 "events" => progress.events, "sends" => req.sends);
-            let _ = tx.send(Err(std::io::Error::other("the stream broke off"))).await;
+            tx.fail("the stream broke off").await;
         }
     }
     let first = progress.first_at.unwrap_or_default().saturating_sub(req.started);
@@ -177,6 +188,12 @@
         "ms" => boot_now().saturating_sub(req.started).as_millis() as u64);
 }
 
+/// Whether the caller was disconnected because it read nothing.
+fn is_stalled(req: &ActiveRequest) -> bool {
+    let connection = req.head.extensions.get::<Arc<CallerConnection>>();
+    connection.is_some_and(|connection| connection.is_stalled())
+}
+
 fn record_metrics(req: &ActiveRequest, progress: &Progress, ended: &str, first: Duration) {
     let outcome = if ended == COMPLETE { "done" } else { ended };
     let labels = ClassLabels { class: req.prompt_class().to_owned() };
@@ -285,11 +302,11 @@
             }
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(Some(Err(e))) => {
-                answer.record_break(req, &endpoint);
+                answer.record_break(req, &endpoint, progress);
                 return SegmentEnd::Broken(error_chain(&e));
             }
             Ok(None) if splitter.in_event() => {
-                answer.record_break(req, &endpoint);
+                answer.record_break(req, &endpoint, progress);
                 return SegmentEnd::Broken("partial event".into());
             }
             Ok(None) => break,
@@ -306,8 +323,10 @@
             }
             keep_waiting = false;
             in_flight.add_output(req.service.engine.as_ref().map_or(1, |m| u64::from(m.stride)));
-            if !forward_event(tx, event, progress).await {
-                return SegmentEnd::CallerGone;
+            match forward_event(req, tx, event, progress).await {
+                Forwarded::Queued => {}
+                Forwarded::CallerGone => return SegmentEnd::CallerGone,
+                Forwarded::NoRoom => return SegmentEnd::DeadlinePassed,
             }
             // Time in which the caller was slow to read is not the engine's.
             last_event_at = boot_now();
@@ -346,8 +365,8 @@
         }
     }
 
-    fn record_break(&self, req: &ActiveRequest, endpoint: &Endpoint) {
-        if !self.is_recorded {
+    fn record_break(&self, req: &ActiveRequest, endpoint: &Endpoint, progress: &Progress) {
+        if !self.is_recorded && !progress.is_caller_slow() {
             req.suspect_crash(endpoint);
         }
     }
@@ -366,19 +385,27 @@
     }
 }
 
-/// Forwards one event unless the caller already has it; false once the caller has closed the
-/// connection.
-async fn forward_event(tx: &EventSender, event: StreamEvent, progress: &mut Progress) -> bool {
+/// Forwards one event unless the caller already has it.
+async fn forward_event(
+    req: &ActiveRequest,
+    tx: &EventSender,
+    event: StreamEvent,
+    progress: &mut Progress,
+) -> Forwarded {
     let already_sent =
         event.id.is_some_and(|id| progress.last_event.is_some_and(|last| id <= last));
     if already_sent {
-        return true;
+        return Forwarded::Queued;
     }
     if event.id.is_some() {
         progress.last_event = event.id;
     }
     progress.record_event();
-    tx.send(Ok(Frame::data(event.data))).await.is_ok()
+    let queued_at = boot_now();
+    let forwarded = tx.send(event.data, req.remaining()).await;
+    let waited = boot_now().saturating_sub(queued_at);
+    progress.longest_caller_wait = progress.longest_caller_wait.max(waited);
+    forwarded
 }
 
 fn record_first_event(
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -10,14 +10,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use super::caller_stream::{CallerConnection, CallerStream};
 use super::control_updates::GatewayListener;
 use super::crash_watch;
 use super::handler;
 use super::load::load_exchange::{self, LoadPeers};
+use super::pool::MAX_UNSENT_BYTES;
 use super::responses::{self, ResponseBody};
 use super::state::Gateway;
 use crate::clock::boot_now;
@@ -122,6 +125,7 @@
         sleep(MAINTENANCE_INTERVAL).await;
         readiness.set(is_ready(&gateway));
         gateway.pool.close_expired();
+        gateway.update_memory_metrics();
         gateway.in_flight.lock().expire(boot_now());
         gateway.endpoints.lock().expire(boot_now());
         gateway.metrics.in_flight.set(gateway.in_flight.lock().local_count() as i64);
@@ -153,9 +157,20 @@
 
 fn serve_caller(stream: TcpStream, gateway: &Arc<Gateway>, graceful: &GracefulShutdown) {
     let _ = stream.set_nodelay(true);
+    if gateway.memory.is_bounded() {
+        let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+    }
     let limits = gateway.config.load().as_ref().map(|c| c.limits.clone()).unwrap_or_default();
+    let connection = Arc::new(CallerConnection::default());
+    let mut stream = CallerStream::new(stream, Arc::clone(&connection));
+    if gateway.memory.is_bounded() {
+        stream.disconnect_when_stalled(Arc::clone(gateway));
+    }
     let gateway = Arc::clone(gateway);
-    let service = service_fn(move |req| handler::handle(Arc::clone(&gateway), req));
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        req.extensions_mut().insert(Arc::clone(&connection));
+        handler::handle(Arc::clone(&gateway), req)
+    });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,6 +21,7 @@
 use super::eligibility::{Eligibility, EligibilityRule, SendContext};
 use super::load::in_flight::{InFlightSend, InFlightSends, SendKey};
 use super::load::moving_average::MovingAverage;
+use super::memory_budget::{HeldKind, MemoryBudget, budget_bytes};
 use super::placement::policy::Policy;
 use super::pool::Pool;
 use super::startup::WaitingRequests;
@@ -28,7 +29,7 @@
 use crate::directory::EndpointId;
 use crate::event;
 use crate::ids::Moment;
-use crate::metrics::{ClassLabels, Metrics, RequestLabels};
+use crate::metrics::{ClassLabels, KindLabels, Metrics, RequestLabels};
 use crate::quarantine::Quarantine;
 use crate::wire::{self, Document};
 
@@ -45,6 +46,8 @@
     pub policy: Policy,
     /// Rate up to which load is sent to other entries, in bytes per second.
     pub load_bytes_per_s: f64,
+    /// Memory that the process may use, in bytes; `None` for no bound.
+    pub memory_limit: Option<u64>,
 }
 
 impl Default for GatewaySettings {
@@ -55,6 +58,7 @@
             budget: BudgetConfig::default(),
             policy: Policy::default(),
             load_bytes_per_s: 1e6,
+            memory_limit: None,
         }
     }
 }
@@ -96,6 +100,8 @@
     pub checked_endpoints: Mutex<CheckedEndpoints>,
     /// Retries that this entry may still make.
     pub budget: Mutex<RetryBudget>,
+    /// Bytes held for bodies and answers.
+    pub memory: Arc<MemoryBudget>,
     /// Idle connections to endpoints.
     pub pool: Pool,
     /// Wakes the task that sends this entry's load to other entries.
@@ -114,13 +120,15 @@
     /// Builds the state of a gateway without configuration or endpoints.
     pub fn new(cfg: GatewaySettings, dialect: Arc<dyn Dialect>, log: Logger) -> Self {
         let budget = RetryBudget::new(cfg.budget.clone());
+        let memory_limit = cfg.memory_limit.filter(|_| cfg.policy.memory_budget);
+        let memory = MemoryBudget::new(memory_limit.map(budget_bytes));
         let (health, limits) =
             (Arc::<Mutex<Health>>::default(), Arc::<Mutex<EndpointLimits>>::default());
         let zone_drains = Arc::<Mutex<ZoneDrains>>::default();
         // The limits come last: they count each question as demand for the endpoint.
         let eligibility_rules: Vec<Arc<dyn EligibilityRule>> =
             vec![zone_drains.clone(), health.clone(), limits.clone()];
-        Self {
+        let gateway = Self {
             cfg,
             dialect,
             config: ArcSwapOption::empty(),
@@ -138,13 +146,16 @@
             quarantine_changed: Notify::new(),
             checked_endpoints: Mutex::default(),
             budget: Mutex::new(budget),
-            pool: Pool::default(),
+            memory: Arc::new(memory),
+            pool: Pool::new(memory_limit.is_some()),
             load_changed: Notify::new(),
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             metrics: Arc::new(Metrics::default()),
             log,
-        }
+        };
+        gateway.update_memory_metrics();
+        gateway
     }
 
     /// Counts a finished request and records its total time.
@@ -155,6 +166,15 @@
         self.metrics.requests.get_or_create(&RequestLabels { outcome, class }).inc();
     }
 
+    /// Updates the metrics of the memory budget.
+    pub fn update_memory_metrics(&self) {
+        for kind in HeldKind::ALL {
+            let labels = KindLabels { kind: kind.label().to_owned() };
+            let held = self.memory.held(kind) as i64;
+            self.metrics.memory_held.get_or_create(&labels).set(held);
+        }
+    }
+
     /// Version of the configuration in force; 0 if there is none.
     pub fn config_version(&self) -> u64 {
         self.config.load().as_ref().map_or(0, |c| c.version)
--- a/src/losses.rs
+++ b/src/losses.rs
@@ -116,7 +116,8 @@
 
 fn stream_fate(ended: Option<&str>, number: impl Fn(&str) -> Option<u64>) -> Fate {
     if ended != Some(COMPLETE) {
-        return if ended == Some("caller left") { Fate::CallerLeft } else { Fate::BrokenOff };
+        let is_callers = matches!(ended, Some("caller left" | "caller read nothing"));
+        return if is_callers { Fate::CallerLeft } else { Fate::BrokenOff };
     }
     let late = number("first_ms") > number("objective_ms");
     let limit = number("pause_limit_ms").filter(|limit| *limit > 0);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -33,6 +33,13 @@
     pub class: String,
 }
 
+/// Label of metrics that are split by the kind of what is held.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct KindLabels {
+    /// Kind: `body`, `large-body`, `answer`, `large-answer` or `stream`.
+    pub kind: String,
+}
+
 /// All metrics; those of other roles stay at zero.
 pub struct Metrics {
     registry: Registry,
@@ -56,6 +63,10 @@
     pub entries: Gauge,
     /// Requests in flight.
     pub in_flight: Gauge,
+    /// Bytes held for bodies and answers, by kind.
+    pub memory_held: Family<KindLabels, Gauge>,
+    /// Callers that were disconnected because they read nothing.
+    pub callers_not_reading: Counter,
     /// Crashes of endpoints that this process noticed.
     pub crashes: Counter,
     /// Availability zones that operators drain.
@@ -91,6 +102,8 @@
             endpoints: Gauge::default(),
             entries: Gauge::default(),
             in_flight: Gauge::default(),
+            memory_held: Family::default(),
+            callers_not_reading: Counter::default(),
             crashes: Counter::default(),
             zones_drained: Gauge::default(),
             quarantined: Gauge::default(),
@@ -119,6 +132,12 @@
         r.register("endpoints_ready", "Endpoints that take work", self.endpoints.clone());
         r.register("entries", "Entries that share their load", self.entries.clone());
         r.register("in_flight", "Requests under way", self.in_flight.clone());
+        r.register("memory_held_bytes", "Bytes of bodies and answers", self.memory_held.clone());
+        r.register(
+            "callers_not_reading",
+            "Callers disconnected because they read nothing",
+            self.callers_not_reading.clone(),
+        );
         r.register("endpoint_crashes", "Crashes of endpoints noticed", self.crashes.clone());
         r.register("zones_drained", "Zones that operators drain", self.zones_drained.clone());
         r.register("quarantined", "Kinds of poison request refused", self.quarantined.clone());
--- a/src/platform/roles.rs
+++ b/src/platform/roles.rs
@@ -47,6 +47,7 @@
         budget: settings.budget.clone(),
         policy,
         load_bytes_per_s: settings.link_bytes_per_s * LOAD_LINK_SHARE,
+        memory_limit: settings.memory_limit,
     };
     let any_port = (settings.ip, 0).into();
     let addresses = GatewayAddresses {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -56,6 +56,8 @@
     pub endpoint_timeout: Duration,
     /// Bandwidth of this host's link, in bytes per second.
     pub link_bytes_per_s: f64,
+    /// Memory that a process on this host may use, in bytes; `None` if it is not limited.
+    pub memory_limit: Option<u64>,
 }
 
 impl PlatformSettings {
@@ -121,6 +123,7 @@
                 window: Duration::from_secs_f64(fields.number("/Bounds/RetryWindowS", 10.0)),
             },
             link_bytes_per_s: fields.number("/Limits/LinkMbps", 1000.0) * 1e6 / 8.0,
+            memory_limit: fields.memory_limit("/Limits/MemoryMb"),
             endpoint_timeout: Duration::from_secs_f64(
                 heartbeat * ENDPOINT_TIMEOUT_HEARTBEATS / 1000.0,
             ),
@@ -219,6 +222,12 @@
         }
     }
 
+    /// Limit in megabytes, as bytes; missing or 0 is none.
+    fn memory_limit(&mut self, pointer: &str) -> Option<u64> {
+        let bytes = self.number(pointer, 0.0) * 1e6;
+        (bytes > 0.0).then_some(bytes as u64)
+    }
+
     fn count(&mut self, pointer: &str, default: usize) -> usize {
         match self.value.pointer(pointer) {
             None | Some(Value::Null) => default,
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -29,6 +29,9 @@
 /// Name of that workspace.
 pub const WORKSPACE: &str = "moving-house";
 
+/// Memory limit in the settings, in megabytes: that of the smallest hosts of the deployments.
+pub const MEMORY_MB: u64 = 160;
+
 const CALLERS_PORT: u16 = 8227;
 const READY_PORT: u16 = 8220;
 const OPERATORS_PORT: u16 = 8229;
@@ -187,6 +190,7 @@
             "Bootstrap": first, "DataDir": data, "HeartbeatMs": 400,
             "FaultTolerance": { "Machines": self.layout.tolerance },
             "Bounds": { "GraceS": 8, "RetryRatio": 0.2, "RetryWindowS": 10, "RetrySlack": 100 },
+            "Limits": { "MemoryMb": MEMORY_MB },
             "Unknown": { "Later": true },
         });
         let path = self.dir.path().join(format!("{role}-{host}.json"));
@@ -300,6 +304,14 @@
         format!("{}:{CALLERS_PORT}", self.ip(10 + at)).parse().unwrap()
     }
 
+    /// Metrics of an entry.
+    pub async fn metrics(&self, at: usize) -> String {
+        let addr = format!("{}:9464", self.ip(10 + at)).parse().unwrap();
+        let answer = call(addr, Request::get("/metrics").body(Full::default()).unwrap()).await;
+        let body = answer.unwrap().into_body().collect().await.unwrap().to_bytes();
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
     /// Status of an entry's readiness probe; 0 if it does not respond.
     pub async fn readiness(&self, at: usize) -> u16 {
         let addr = format!("{}:{READY_PORT}", self.ip(10 + at)).parse().unwrap();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,4 +7,5 @@
 mod promises;
 mod requests;
 mod servers;
+mod slow_readers;
 mod system;
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -26,6 +26,13 @@
 /// Number of events in a whole stream.
 pub const EVENTS: u64 = 12;
 
+/// Size of an answer in the mode [`ServerMode::LargeAnswer`], in bytes.
+pub const LARGE_ANSWER_BYTES: usize = 3 * 1024 * 1024;
+
+/// Number and size in bytes of the events in the mode [`ServerMode::LargeEvents`].
+pub const LARGE_EVENTS: usize = 100;
+pub const LARGE_EVENT_BYTES: usize = 30_000;
+
 /// How a server responds to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerMode {
@@ -54,6 +61,12 @@
     NamesTime,
     /// Sends bytes without end in place of a body or an event.
     SendsWithoutEnd,
+    /// Responds with a body of [`LARGE_ANSWER_BYTES`].
+    LargeAnswer,
+    /// Sends a stream of large events as fast as they are read.
+    LargeEvents,
+    /// Reads a request's body at about 1 MiB/s, then responds with success.
+    ReadsSlowly,
 }
 
 /// A request that a server ran or refused.
@@ -423,6 +436,20 @@
         let _ = req.into_body().collect().await;
         return Ok(head.body(truncated_body()).unwrap());
     }
+    if mode == ServerMode::LargeAnswer {
+        return Ok(head.body(full_body(&"x".repeat(LARGE_ANSWER_BYTES))).unwrap());
+    }
+    if mode == ServerMode::LargeEvents {
+        return Ok(head.body(large_events()).unwrap());
+    }
+    if mode == ServerMode::ReadsSlowly {
+        let mut body = req.into_body();
+        while let Some(Ok(frame)) = body.frame().await {
+            let read_s = frame.data_ref().map_or(0, Bytes::len) as f64 / (1024.0 * 1024.0);
+            tokio::time::sleep(Duration::from_secs_f64(read_s)).await;
+        }
+        return Ok(head.body(full_body("read")).unwrap());
+    }
     if !streams {
         tokio::time::sleep(Duration::from_millis(10)).await;
         return Ok(head.body(full_body(&format!("answer to {id}"))).unwrap());
@@ -513,6 +540,15 @@
     BodyExt::boxed(StreamBody::new(futures::stream::iter(parts)))
 }
 
+/// A stream of large events, with a lazily built event for each read.
+fn large_events() -> Body {
+    let event = |id: usize| {
+        let text = format!("id: {id}\ndata: {}\n\n", "x".repeat(LARGE_EVENT_BYTES));
+        Ok(Frame::data(Bytes::from(text)))
+    };
+    BodyExt::boxed(StreamBody::new(futures::stream::iter((1..=LARGE_EVENTS).map(event))))
+}
+
 /// A body of zeros that ends only when its connection is closed.
 fn endless_body() -> Body {
     let part = Bytes::from_static(&[b'0'; 64 * 1024]);
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -213,6 +213,24 @@
     assert!(findings.contains("/FaultTolerance/Machines"), "{findings}");
 }
 
+/// Guards against a memory limit that is read in another unit, or taken for one where there is none.
+#[test]
+fn a_memory_limit_is_read_in_megabytes_and_missing_or_zero_is_none() {
+    let settings = |limits: Value| {
+        let value = serde_json::json!({
+            "NodeName": "n", "Zone": "z", "Ip": "10.0.0.1", "Seeds": [],
+            "PortRange": [7340, 7355], "Limits": limits,
+        });
+        PlatformSettings::decode("settings.json", &value).map(|settings| settings.memory_limit)
+    };
+    assert_eq!(settings(serde_json::json!({"MemoryMb": 160})).unwrap(), Some(160_000_000));
+    for none in [serde_json::json!({}), serde_json::json!({"MemoryMb": 0}), Value::Null] {
+        assert_eq!(settings(none).unwrap(), None);
+    }
+    let findings = settings(serde_json::json!({"MemoryMb": "much"})).unwrap_err().to_string();
+    assert!(findings.contains("/Limits/MemoryMb"), "{findings}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_disk_that_refuses_writes_for_a_while_ends_no_process_and_loses_nothing() {
     let mut nodes = Deployment::start(1, 0).await;
