Pass answers on as they arrive where the budget has no room

Cause: collected answers of callers that do not read use up their share for up to 9 s, and answers to other callers waited for it until their time was up.

Change: an answer without room is passed on within the window of a stream; what was collected of it goes first. Errors that may be retried still wait for room.

--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -14,6 +14,7 @@
 use super::crash_watch::{self, Suspect, tells_its_end};
 use super::dialect::{CallerHead, SendOptions};
 use super::eligibility::endpoints::Endpoint;
+use super::pass_through;
 use super::reason::Reason;
 use super::responses::{
     ResponseBody, body_from_bytes, jittered_retry_after, refuse, spread_retry_after, text_response,
@@ -37,7 +38,7 @@
 const LATE_RANK: u8 = 8;
 
 /// Maximum size of an answer that is collected, in bytes; as for requests, by default.
-const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+pub(super) const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// Time without a response from an endpoint that is not an engine after which an idempotent
 /// request is retried elsewhere.
@@ -199,19 +200,23 @@
             && self.gateway.take_retry(&self.service.name)
     }
 
-    pub(super) fn is_retryable(&self, response: &Response<ResponseBody>) -> bool {
-        response.status().is_server_error() && self.route.retry_policy == RetryPolicy::Idempotent
+    pub(super) fn is_retryable(&self, status: StatusCode) -> bool {
+        status.is_server_error() && self.route.retry_policy == RetryPolicy::Idempotent
     }
 
-    /// Reads the complete body of a response that is not a stream.
+    /// Reads the complete body of a response that is not a stream, or passes it on as it arrives if
+    /// the memory budget has no room and the request is not retried after it.
     pub(super) async fn read_body(
         &self,
-        response: EndpointResponse,
-        endpoint: &Endpoint,
+        mut response: EndpointResponse,
+        placement: Placement,
     ) -> Result<Response<ResponseBody>, Reason> {
-        let EndpointResponse { parts, head, mut body, conn } = response;
+        let endpoint = &placement.endpoint;
         let (memory, limit) = (&self.gateway.memory, self.remaining());
-        let collected = collect(memory, &mut body, Collected::Answer, MAX_ANSWER_BYTES, limit);
+        let may_pass = !self.is_retryable(response.parts.status);
+        let wait = if may_pass { Duration::ZERO } else { limit };
+        let body = &mut response.body;
+        let collected = collect(memory, body, Collected::Answer, MAX_ANSWER_BYTES, wait);
         let body = match timeout(limit, collected).await {
             Ok(Ok(body)) => body,
             Ok(Err(CollectError::TooLarge)) => {
@@ -223,9 +228,18 @@
                 self.suspect_crash(endpoint);
                 return Err(Reason::detailed("the answer broke off", error_chain(&e)));
             }
-            Ok(Err(CollectError::NoRoom)) => return Err("no memory for the answer".into()),
+            Ok(Err(CollectError::NoRoom(collected))) if may_pass => {
+                let mut passed = Response::new(body_from_bytes(Bytes::new()));
+                *passed.status_mut() = response.parts.status;
+                *passed.headers_mut() =
+                    self.gateway.dialect.encode_response(&response.parts.headers);
+                *passed.body_mut() = pass_through::start(self, response, placement, collected);
+                return Ok(passed);
+            }
+            Ok(Err(CollectError::NoRoom(_))) => return Err("no memory for the answer".into()),
             Err(_) => return Err("the answer did not end in time".into()),
         };
+        let EndpointResponse { parts, head, conn, .. } = response;
         if !head.closes_connection {
             self.gateway.pool.put(conn, head.keep_alive);
         }
--- a/src/gateway/collect.rs
+++ b/src/gateway/collect.rs
@@ -44,14 +44,8 @@
     TooLarge,
     /// The connection broke.
     Broken(hyper::Error),
-    /// The budget had no room for it.
-    NoRoom,
-}
-
-impl From<NoRoom> for CollectError {
-    fn from(_: NoRoom) -> Self {
-        Self::NoRoom
-    }
+    /// The budget had no room for the rest of it; this was read before.
+    NoRoom(Bytes),
 }
 
 /// Reads a body of at most `max` bytes.
@@ -76,7 +70,9 @@
         return Ok(Bytes::new());
     }
     let first = declared.unwrap_or(GROWTH_BYTES.min(max));
-    let mut charge = budget.charge(part.kind(first), first, wait).await?;
+    let Ok(mut charge) = budget.charge(part.kind(first), first, wait).await else {
+        return Err(CollectError::NoRoom(Bytes::new()));
+    };
     let mut data = BytesMut::with_capacity(declared.unwrap_or_default());
     while let Some(frame) = body.frame().await {
         let Ok(chunk) = frame.map_err(CollectError::Broken)?.into_data() else { continue };
@@ -84,8 +80,11 @@
         if size > max {
             return Err(CollectError::TooLarge);
         }
-        while charge.bytes() < size as u64 {
-            charge = grow(budget, charge, part, size, wait).await?;
+        if charge.bytes() < size as u64
+            && grow(budget, &mut charge, part, size, wait).await.is_err()
+        {
+            data.extend_from_slice(&chunk);
+            return Err(CollectError::NoRoom(charge.hold(data)));
         }
         data.extend_from_slice(&chunk);
     }
@@ -101,19 +100,19 @@
 /// Grows the charge of a body that has reached `size` bytes. The buffer doubles as it grows.
 async fn grow(
     budget: &Arc<MemoryBudget>,
-    mut charge: Charge,
+    charge: &mut Charge,
     part: Collected,
     size: usize,
     wait: Duration,
-) -> Result<Charge, CollectError> {
+) -> Result<(), NoRoom> {
     let before = charge.bytes() as usize;
     let wanted = (2 * before).max(size);
     if part.kind(wanted) != part.kind(before) {
         // The new charge is made before the old one ends, so that the bytes are always counted.
-        return Ok(budget.charge(part.kind(wanted), wanted, wait).await?);
+        *charge = budget.charge(part.kind(wanted), wanted, wait).await?;
+        return Ok(());
     }
-    charge.grow(wanted - before, wait).await?;
-    Ok(charge)
+    charge.grow(wanted - before, wait).await
 }
 
 /// Reads the rest of a body and drops it, up to a number of bytes and for a limited time.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -89,8 +89,8 @@
             SendOutcome::Responded(response) if req.is_stream(&response) => {
                 return relay::start(req, placement, *response);
             }
-            SendOutcome::Responded(response) => match req.read_body(*response, &endpoint).await {
-                Ok(response) if req.is_retryable(&response) => {
+            SendOutcome::Responded(response) => match req.read_body(*response, placement).await {
+                Ok(response) if req.is_retryable(response.status()) => {
                     failed = Some(response);
                     "the endpoint returned a server error".into()
                 }
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -123,7 +123,7 @@
             discard(body);
             (StatusCode::PAYLOAD_TOO_LARGE, "body too large")
         }
-        Ok(Err(CollectError::NoRoom)) => {
+        Ok(Err(CollectError::NoRoom(_))) => {
             event!(gateway.log, MemoryRefused, "request" => caller.id.as_str(),
                 "bodies" => gateway.memory.held(HeldKind::Body),
                 "large_bodies" => gateway.memory.held(HeldKind::LargeBody),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod intake;
 pub mod load;
 pub mod memory_budget;
+pub mod pass_through;
 pub mod placement;
 pub mod pool;
 pub mod reason;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,7 +20,7 @@
 use super::responses::ResponseBody;
 use super::send::{EndpointResponse, SendOutcome, error_chain, send};
 use super::state::InFlightGuard;
-use super::stream_window::{EventSender, Forwarded, event_queue};
+use super::stream_window::{EventSender, Forwarded, SLOW_CALLER_WAIT, event_queue};
 use crate::clock::boot_now;
 use crate::event;
 use crate::ids::Moment;
@@ -38,10 +38,6 @@
 /// Time after the first event from which a stream counts as answered without a crash.
 const ANSWERED_TIME: Duration = Duration::from_millis(1000);
 
-/// Wait for a caller from which on it, and not the endpoint, is taken to be the reason when the
-/// endpoint then breaks off: endpoints cut off answers that stay unread.
-const SLOW_CALLER_WAIT: Duration = Duration::from_millis(1000);
-
 /// Value of the log field `ended` for a stream that was forwarded completely.
 const COMPLETE: &str = "complete";
 
--- a/src/gateway/stream_window.rs
+++ b/src/gateway/stream_window.rs
@@ -15,6 +15,10 @@
 /// on its own.
 pub const WINDOW_BYTES: usize = 64 * 1024;
 
+/// Wait for a caller from which on it, and not the endpoint, is taken to be the reason when the
+/// endpoint then breaks off: endpoints cut off answers that stay unread.
+pub const SLOW_CALLER_WAIT: Duration = Duration::from_millis(1000);
+
 /// Maximum number of events in the queue; it bounds what each of them takes besides its bytes.
 const MAX_QUEUED_EVENTS: usize = 256;
 
@@ -69,8 +73,12 @@
         let Ok(charge) = self.memory.charge(HeldKind::Stream, event.len(), limit).await else {
             return Forwarded::NoRoom;
         };
-        let event = charge.hold(WindowedEvent { event, _permit: permit });
-        match self.tx.send(Ok(Frame::data(event))).await {
+        self.send_held(charge.hold(WindowedEvent { event, _permit: permit })).await
+    }
+
+    /// Sends bytes that are charged to the budget already.
+    pub async fn send_held(&self, data: Bytes) -> Forwarded {
+        match self.tx.send(Ok(Frame::data(data))).await {
             Ok(()) => Forwarded::Queued,
             Err(_) => Forwarded::CallerGone,
         }
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -29,6 +29,9 @@
 /// Size of an answer in the mode [`ServerMode::LargeAnswer`], in bytes.
 pub const LARGE_ANSWER_BYTES: usize = 3 * 1024 * 1024;
 
+/// Size of an answer in the mode [`ServerMode::UsualAnswer`], in bytes.
+pub const USUAL_ANSWER_BYTES: usize = 250_000;
+
 /// Number and size in bytes of the events in the mode [`ServerMode::LargeEvents`].
 pub const LARGE_EVENTS: usize = 100;
 pub const LARGE_EVENT_BYTES: usize = 30_000;
@@ -63,6 +66,8 @@
     SendsWithoutEnd,
     /// Responds with a body of [`LARGE_ANSWER_BYTES`].
     LargeAnswer,
+    /// Responds with a body of [`USUAL_ANSWER_BYTES`].
+    UsualAnswer,
     /// Sends a stream of large events as fast as they are read.
     LargeEvents,
     /// Reads a request's body at about 1 MiB/s, then responds with success.
@@ -439,6 +444,9 @@
     if mode == ServerMode::LargeAnswer {
         return Ok(head.body(full_body(&"x".repeat(LARGE_ANSWER_BYTES))).unwrap());
     }
+    if mode == ServerMode::UsualAnswer {
+        return Ok(head.body(full_body(&"x".repeat(USUAL_ANSWER_BYTES))).unwrap());
+    }
     if mode == ServerMode::LargeEvents {
         return Ok(head.body(large_events()).unwrap());
     }
--- a/tests/platform/slow_readers.rs
+++ b/tests/platform/slow_readers.rs
@@ -12,7 +12,9 @@
 
 use crate::deployment::{Deployment, MEMORY_MB, ask, id_of, plain, wait_until};
 use crate::requests::{Fixture, start_fixture};
-use crate::servers::{LARGE_ANSWER_BYTES, LARGE_EVENT_BYTES, LARGE_EVENTS, ServerMode};
+use crate::servers::{
+    LARGE_ANSWER_BYTES, LARGE_EVENT_BYTES, LARGE_EVENTS, ServerMode, USUAL_ANSWER_BYTES,
+};
 
 /// Memory that an entry may use, in kilobytes.
 const MEMORY_KB: u64 = MEMORY_MB * 1000 * 1000 / 1024;
@@ -69,25 +71,28 @@
 async fn two_hundred_callers_that_do_not_read_cost_neither_memory_nor_other_callers() {
     let fixture = start_for_large_bodies().await;
     let addr = fixture.nodes.callers_address(0);
-    fixture.orders.iter().for_each(|s| s.set(ServerMode::LargeAnswer));
+    // Answers of a usual size and larger ones have shares of their own; both are used up.
+    fixture.orders[0].set(ServerMode::LargeAnswer);
+    fixture.orders[1].set(ServerMode::UsualAnswer);
     fixture.engines.iter().for_each(|s| s.set(ServerMode::LargeEvents));
     let plain_requests: Vec<_> = (0..180).map(|_| plain("GET", "/book/status/1")).collect();
     let streams: Vec<_> = (0..20).map(|_| ask("/tell/1", 1000)).collect();
     let requests = plain_requests.iter().chain(&streams);
     let idle = join_all(requests.map(|req| send_head(addr, req))).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
-    fixture.orders[0].set(ServerMode::Normal);
-    fixture.orders[1].set(ServerMode::Normal);
     fixture.engines.iter().for_each(|s| s.set(ServerMode::Normal));
     let start = Instant::now();
     let (mut served, mut sent) = (0, 0);
     while start.elapsed() < Duration::from_secs(8) {
-        let (looked_up, ..) = fixture.nodes.send(0, plain("GET", "/book/status/2")).await;
+        let (looked_up, _, answer) = fixture.nodes.send(0, plain("GET", "/book/status/2")).await;
+        let length = answer.map_or(0, |answer| answer.len());
+        assert!([LARGE_ANSWER_BYTES, USUAL_ANSWER_BYTES].contains(&length), "{length} bytes");
         let (asked, _, events) = fixture.nodes.send(0, ask("/ask/1", 1000)).await;
         sent += 2;
         served += usize::from(looked_up == 200) + usize::from(asked == 200 && events.is_ok());
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    println!("{served} of {sent} callers that read were served");
     assert_eq!(served, sent, "callers that read are served");
     let peak = fixture.nodes.entries[0].peak_memory_kb();
     println!("peak memory {peak} KB of {MEMORY_KB}");
