--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -17,7 +17,7 @@
 use serde::Deserialize;
 use slog::Logger;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::yield_now;
+use tokio::task::{spawn_blocking, yield_now};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -249,15 +249,20 @@
 }
 
 async fn put_document(service: &ControlService, log: &Logger, body: Bytes) -> HttpResponse {
-    let config = match document::decode(&body) {
-        Ok(config) => config,
-        Err(findings) => {
+    // A large document takes long to check and to compress; other calls are answered meanwhile.
+    let packed = spawn_blocking(move || {
+        document::decode(&body).map(|config| Document::pack(config.version, body))
+    });
+    let document = match packed.await {
+        Ok(Ok(document)) => document,
+        Ok(Err(findings)) => {
             event!(log, DocumentRefused, "findings" => findings.to_string());
             return text_response(StatusCode::BAD_REQUEST, &findings.to_string());
         }
+        Err(e) => return text_response(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
     };
-    let version = config.version;
-    match service.propose_document(Document::pack(version, body)).await {
+    let version = document.version;
+    match service.propose_document(document).await {
         Ok(outcome) => {
             event!(log, DocumentAccepted, "version" => version, "held" => outcome.number);
             json_response(Bytes::from_static(b"{}"))
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -34,6 +34,7 @@
             .replace("IP:7401", &operators)
             .replace("HOST", "h0")
             .replace("ENDPOINT", "e0")
+            .replace("ZONE", "z0")
             .replace("MODEL", "m")
             .replace("IDENTITY", &replica)
             .replace("REQUEST LOGS", &format!("4f {}", env.path("request.log")))
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -191,6 +191,7 @@
             "FaultTolerance": { "Machines": self.layout.tolerance },
             "Bounds": { "GraceS": 8, "RetryRatio": 0.2, "RetryWindowS": 10, "RetrySlack": 100 },
             "Limits": { "MemoryMb": MEMORY_MB },
+            "Zones": { "zone-a": "west", "zone-b": "east", "zone-c": "south" },
             "Unknown": { "Later": true },
         });
         let path = self.dir.path().join(format!("{role}-{host}.json"));
@@ -288,6 +289,78 @@
         None
     }
 
+    /// Orders the drain of a zone (`POST`) or its end (`DELETE`) at one replica and follows redirects.
+    /// Returns the status and the body of the last response.
+    pub async fn order_drain_at(
+        &self,
+        at: usize,
+        method: &str,
+        zone: &str,
+    ) -> Option<(u16, String)> {
+        let path = format!("/api/drain/{zone}");
+        let mut addr = self.operators_address(at);
+        for _ in 0..3 {
+            let req = Request::builder().method(method).uri(&path).body(Full::default()).unwrap();
+            let answer = call(addr, req).await.ok()?;
+            let status = answer.status().as_u16();
+            if let Some(location) = answer.headers().get("location").filter(|_| status == 307) {
+                let location = location.to_str().unwrap().trim_start_matches("http://");
+                let (host, rest) = location.split_once('/').unwrap();
+                assert_eq!(format!("/{rest}"), path, "the path of the call is kept");
+                addr = host.parse().unwrap();
+                continue;
+            }
+            let body = answer.into_body().collect().await.ok()?.to_bytes();
+            return Some((status, String::from_utf8_lossy(&body).into_owned()));
+        }
+        None
+    }
+
+    /// Acts as an operator: orders the drain of a zone or its end at the replicas in turn, from `at`
+    /// on, for one second each, until one acknowledges the order.
+    pub async fn order_drain(&self, at: usize, method: &str, zone: &str) {
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        for step in at.. {
+            let replica = step % self.controls.len();
+            let order = self.order_drain_at(replica, method, zone);
+            let answer = tokio::time::timeout(Duration::from_secs(1), order).await;
+            match answer {
+                Ok(Some((200, _))) => return,
+                Ok(Some((status, body))) => assert!(status >= 500, "{status} {body}"),
+                _ => {}
+            }
+            assert!(Instant::now() < deadline, "no replica acknowledged the order in time");
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+    }
+
+    /// Index of the replica that answers an order itself.
+    pub async fn find_leader(&self) -> usize {
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        loop {
+            for at in 0..self.controls.len() {
+                let path = "/api/drain/zone-a";
+                let req = Request::delete(path).body(Full::default()).unwrap();
+                let answer = call(self.operators_address(at), req);
+                let answer = tokio::time::timeout(Duration::from_secs(1), answer).await;
+                if answer.is_ok_and(|a| a.is_ok_and(|a| a.status() == 200)) {
+                    return at;
+                }
+            }
+            assert!(Instant::now() < deadline, "no replica leads");
+        }
+    }
+
+    /// Value of the metric of drained zones of an entry; `None` if the entry does not respond.
+    pub async fn zones_drained(&self, entry: usize) -> Option<u64> {
+        let addr = format!("{}:9464", self.ip(10 + entry)).parse().unwrap();
+        let req = Request::get("/metrics").body(Full::default()).unwrap();
+        let body = call(addr, req).await.ok()?.into_body().collect().await.ok()?.to_bytes();
+        let text = String::from_utf8_lossy(&body);
+        let mut values = text.lines().filter_map(|l| l.strip_prefix("bitternlead_zones_drained "));
+        values.next()?.parse().ok()
+    }
+
     /// Sets a fail point of a control replica.
     pub async fn set_fault(&self, at: usize, fault: &str) {
         let addr = format!("{}:9465", self.ip(at)).parse().unwrap();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,3 +9,4 @@
 mod servers;
 mod slow_readers;
 mod system;
+mod zone_drains;
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -157,12 +157,16 @@
     }
 }
 
+/// What a test may change of a running server: its mode, and the standing and the zone that it
+/// announces.
+type ServerState = (ServerMode, &'static str, &'static str);
+
 /// A running server.
 pub struct Server {
     pub id: String,
     pub addr: SocketAddr,
     service: &'static str,
-    state: Arc<Mutex<(ServerMode, &'static str)>>,
+    state: Arc<Mutex<ServerState>>,
     started_ms: u64,
     tasks: Vec<JoinHandle<()>>,
     seq: Arc<Mutex<u64>>,
@@ -171,16 +175,28 @@
 }
 
 impl Server {
-    /// Starts a server that announces itself to control every 300 ms.
+    /// Starts a server in `zone-a` that announces itself to control every 300 ms.
     pub async fn start(
         id: &str,
         service: &'static str,
         addr: SocketAddr,
         control: Vec<SocketAddr>,
         records: &Records,
+    ) -> Self {
+        Self::start_in("zone-a", id, service, addr, control, records).await
+    }
+
+    /// Starts a server in an availability zone.
+    pub async fn start_in(
+        zone: &'static str,
+        id: &str,
+        service: &'static str,
+        addr: SocketAddr,
+        control: Vec<SocketAddr>,
+        records: &Records,
     ) -> Self {
         let listener = TcpListener::bind(addr).await.unwrap();
-        let state = Arc::new(Mutex::new((ServerMode::Normal, "ready")));
+        let state = Arc::new(Mutex::new((ServerMode::Normal, "ready", zone)));
         let started_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let seq = Arc::new(Mutex::new(0));
         let crashed = Arc::new(Notify::new());
@@ -237,6 +253,11 @@
         self.state.lock().0 = mode;
     }
 
+    /// Announces another availability zone from now on.
+    pub fn set_zone(&self, zone: &'static str) {
+        self.state.lock().2 = zone;
+    }
+
     /// Announces that the server drains, and returns once control acknowledges it.
     pub async fn drain(&self, control: &[SocketAddr]) {
         self.state.lock().1 = "draining";
@@ -300,16 +321,16 @@
     service: &'static str,
     addr: SocketAddr,
     started_ms: u64,
-    state: Arc<Mutex<(ServerMode, &'static str)>>,
+    state: Arc<Mutex<ServerState>>,
     seq: Arc<Mutex<u64>>,
 }
 
 impl Announcer {
     async fn send(&self, control: SocketAddr) -> Option<u16> {
-        let state = self.state.lock().1;
+        let (_, state, zone) = *self.state.lock();
         *self.seq.lock() += 1;
         let body = json!({
-            "Backend": self.service, "Address": self.addr.to_string(), "Zone": "zone-a",
+            "Backend": self.service, "Address": self.addr.to_string(), "Zone": zone,
             "Version": "v1", "Slots": 16, "State": state, "ColdLeftMs": 0,
             "Seq": *self.seq.lock(), "born": self.started_ms,
         });
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -850,3 +850,44 @@
     expected.sort_unstable();
     assert_eq!(voters(all.leader()), expected);
 }
+
+/// Guards against a replica that publishes old state as the newest after it was away: with its log
+/// on disk, with a snapshot to install, or with a new leader that has not committed anything yet.
+#[test]
+fn a_replica_that_was_away_has_caught_up_only_with_all_that_was_committed() {
+    for seed in 0..60 {
+        let mut sim = Simulation::new(seed, 3);
+        sim.run_until(1_000, |_| false);
+        let leader = sim.leader().unwrap();
+        let away = (leader + 1) % 3;
+        sim.hosts[away].raft = None;
+        for _ in 0..12 {
+            sim.propose();
+            sim.step(20);
+        }
+        sim.run_until(2_000, |_| false);
+        if seed % 3 == 0 {
+            sim.compact(leader);
+        }
+        if seed % 2 == 0 {
+            sim.hosts[leader].raft = None;
+        }
+        let committed = sim.committed.keys().next_back().copied().unwrap();
+        sim.restart(away);
+        if seed % 4 == 0 {
+            sim.restart(leader);
+        }
+        let is_current = |sim: &Simulation| {
+            let raft = sim.hosts[away].raft.as_ref().unwrap();
+            raft.leader().is_some() && raft.is_caught_up()
+        };
+        for _ in 0..2_000 {
+            sim.step(5);
+            if is_current(&sim) {
+                let applied = sim.hosts[away].applied;
+                assert!(applied >= committed, "seed {seed}: {applied} of {committed}");
+            }
+        }
+        assert!(is_current(&sim), "seed {seed}: it never catches up");
+    }
+}
--- a/tests/thin_links.rs
+++ b/tests/thin_links.rs
@@ -13,7 +13,7 @@
 use bitternlead::wire::envelope::Body;
 use bitternlead::wire::link::{Link, LinkConfig};
 use bitternlead::wire::server::{Conn, Handler, serve};
-use bitternlead::wire::{Announcement, Document, News, Standing, Subscribe};
+use bitternlead::wire::{Announcement, Document, News, Standing, Subscribe, ZoneDrains};
 use bytes::Bytes;
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
@@ -130,6 +130,8 @@
     version: AtomicU64,
     lost: AtomicUsize,
     announced_at: Mutex<Option<Instant>>,
+    /// Drained zones as they arrived, with the version held then.
+    drains: Mutex<Vec<(ZoneDrains, u64, Instant)>>,
 }
 
 impl UpdateListener for Listener {
@@ -144,6 +146,9 @@
     fn on_connected(&self, _control: SocketAddr) {}
 
     fn on_update(&self, _control: SocketAddr, update: News) {
+        if let Some(drains) = update.zone_drains {
+            self.drains.lock().push((drains, self.held_version(), Instant::now()));
+        }
         if let Some(document) = update.document {
             self.version.store(document.version, Ordering::Relaxed);
         }
@@ -244,6 +249,49 @@
     assert!(sent < 1_300_000, "{sent} bytes were sent for 1,000,000");
 }
 
+/// Guards against a drain that waits for the parts of a document.
+#[tokio::test]
+async fn a_document_on_its_way_holds_up_no_drain() {
+    let replica = ThinReplica::start(THIN_LINK / 2.0).await;
+    let listener = subscribe_to(std::slice::from_ref(&replica)).await;
+    replica.publish(random_document(7));
+    sleep(Duration::from_millis(600)).await;
+    let drained = Instant::now();
+    let drains = ZoneDrains { revision: 3, zones: vec!["north".into()] };
+    replica.published.send_modify(|state| state.zone_drains = drains.clone());
+    assert!(wait_for(&listener, 7, Duration::from_secs(20)).await.is_some());
+    let arrived = listener.drains.lock().iter().find(|(d, ..)| *d == drains).map(|(.., at)| *at);
+    let delay = arrived.expect("the drain arrives").saturating_duration_since(drained);
+    println!("the drain took {delay:?}");
+    assert!(delay < Duration::from_millis(300), "the drain took {delay:?}");
+}
+
+/// Guards against an entry that gets a document from a replica which does not know yet which zones
+/// were drained: one that knows no leader, or less than its leader has committed.
+#[tokio::test]
+async fn a_replica_that_lags_sends_neither_drains_nor_a_document() {
+    let replica = ThinReplica::start(THIN_LINK).await;
+    replica.published.send_modify(|state| {
+        state.lags = true;
+        state.zone_drains = ZoneDrains { revision: 1, zones: vec![] };
+    });
+    let listener = subscribe_to(std::slice::from_ref(&replica)).await;
+    replica.publish(large_document(7));
+    assert!(wait_for(&listener, 7, Duration::from_millis(700)).await.is_none());
+    replica.published.send_modify(|state| (state.lags, state.has_leader) = (false, false));
+    assert!(wait_for(&listener, 7, Duration::from_millis(700)).await.is_none());
+    assert!(listener.drains.lock().is_empty(), "{:?}", listener.drains.lock());
+    let drains = ZoneDrains { revision: 2, zones: vec!["north".into()] };
+    replica.published.send_modify(|state| {
+        state.has_leader = true;
+        state.zone_drains = drains.clone();
+    });
+    assert!(wait_for(&listener, 7, APPLY_LIMIT).await.is_some());
+    let received = listener.drains.lock().clone();
+    assert_eq!(received.len(), 1, "each state is sent once");
+    assert_eq!((&received[0].0, received[0].1), (&drains, 0), "the drains come first");
+}
+
 #[tokio::test]
 async fn a_link_is_not_lost_while_a_large_frame_arrives() {
     let cx = CancellationToken::new();
