Keep requests to the regions that their route and workspace allow

Requests were sent to any region. Where no allowed endpoint is ready the request is refused at once; unknown regions are logged and do not make a document invalid.

--- a/src/events.rs
+++ b/src/events.rs
@@ -71,6 +71,7 @@
     ZoneDrainOrdered = 409, Info, "drain of an availability zone or its end committed";
     ZoneDrainRefused = 410, Warning, "drain of an unknown availability zone refused";
     ZoneDrainApplied = 411, Info, "drain of an availability zone in force or ended on this node";
+    RegionsUnknown = 412, Warning, "configuration document names regions without a known zone";
     EndpointJoined = 500, Info, "endpoint joined";
     EndpointLeaving = 501, Info, "endpoint leaving";
     EndpointLost = 502, Warning, "endpoint lost";
--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -15,6 +15,7 @@
 use super::dialect::{CallerHead, SendOptions};
 use super::eligibility::endpoints::Endpoint;
 use super::pass_through;
+use super::eligibility::regions::RegionSet;
 use super::reason::Reason;
 use super::responses::{
     ResponseBody, body_from_bytes, jittered_retry_after, refuse, spread_retry_after, text_response,
@@ -62,6 +63,8 @@
     pub body: Bytes,
     /// Workspace of the caller's key; `None` on public routes and when no keys are configured.
     pub workspace: Option<WorkspaceName>,
+    /// Regions that both the route and the workspace allow.
+    pub allowed_regions: RegionSet,
     /// Priority of the workspace or the route; 0 is the most urgent.
     pub priority: u32,
     /// When the request was admitted.
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -45,6 +45,9 @@
 /// Retry delay suggested when all endpoints are in drained zones; operators drain zones for longer.
 const DRAINED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Retry delay suggested when no endpoint in an allowed region is ready.
+const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Destination of one send.
 pub struct Placement {
     /// Endpoint that receives the request.
@@ -91,7 +94,9 @@
     /// Ready endpoints that were not tried for this request and that all rules allow.
     fn candidates(&self, now: Moment) -> Vec<Endpoint> {
         let endpoints = self.gateway.endpoints.lock().ready_endpoints(&self.service.name);
-        let cx = SendContext { now, entries: self.gateway.in_flight.lock().entry_count() };
+        let entries = self.gateway.in_flight.lock().entry_count();
+        let allowed_regions = self.allowed_regions.clone();
+        let cx = SendContext { now, entries, allowed_regions };
         let is_usable =
             |e: &&Endpoint| !self.tried.contains(&e.id) && self.gateway.is_eligible(&cx, e);
         endpoints.iter().filter(is_usable).cloned().collect()
@@ -126,13 +131,21 @@
         }
     }
 
-    /// Refuses the request if all endpoints of the service are in drained zones or want no requests
-    /// now, until the first of them takes some again; otherwise one may be ready or reachable soon.
+    /// Refuses the request if no endpoint of the service is ready in an allowed region, or if all of
+    /// them are in drained zones or want no requests now, until the first of them takes some again;
+    /// otherwise one may be ready or reachable soon.
     fn choose_later(&self, now: Moment) -> Choice {
         let endpoints = self.gateway.endpoints.lock().ready_endpoints(&self.service.name);
+        let regions = &self.gateway.cfg.regions;
+        let allowed: Vec<&Endpoint> =
+            endpoints.iter().filter(|e| regions.allow(&self.allowed_regions, e)).collect();
+        if allowed.is_empty() && self.allowed_regions.is_restricted() {
+            let reason = "no endpoint in an allowed region is ready";
+            return Choice::Refused(NO_REGION_RETRY_AFTER, reason);
+        }
         let in_service: Vec<&Endpoint> =
-            endpoints.iter().filter(|e| !self.gateway.is_zone_drained(e)).collect();
-        if in_service.is_empty() && !endpoints.is_empty() {
+            allowed.iter().filter(|e| !self.gateway.is_zone_drained(e)).copied().collect();
+        if in_service.is_empty() && !allowed.is_empty() {
             return Choice::Refused(DRAINED_RETRY_AFTER, "the zones of all endpoints are drained");
         }
         let health = self.gateway.health.lock();
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -1,13 +1,15 @@
 //! Configuration of the gateway: routes, services, limits and the keys of workspaces.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 
+use super::eligibility::regions::RegionSet;
 use super::placement::engine_model::EngineModel;
-use crate::ids::{Version, WorkspaceName};
+use crate::findings::{Findings, Place};
+use crate::ids::{RegionName, Version, WorkspaceName};
 
 /// Whether a request may be sent again after it may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +47,8 @@
     pub max_attempts: u32,
     /// Whether requests are accepted without a key.
     pub public: bool,
+    /// Regions that requests may be sent to.
+    pub allowed_regions: RegionSet,
 }
 
 /// A service that routes refer to.
@@ -65,6 +69,8 @@
     pub name: WorkspaceName,
     /// Priority of its requests; it takes precedence over that of the route.
     pub priority: Option<u32>,
+    /// Regions that its requests may be sent to, as far as the route allows them too.
+    pub allowed_regions: RegionSet,
 }
 
 /// Limits on requests of callers.
@@ -102,6 +108,8 @@
     pub services: HashMap<SmolStr, Arc<Service>>,
     /// Workspaces by key; `None` if no route requires a key.
     pub keys: Option<HashMap<SmolStr, Arc<Workspace>>>,
+    /// Regions that routes and workspaces name, with the places where they do.
+    pub named_regions: Vec<(Place, RegionName)>,
     routes: HashMap<SmolStr, HashMap<SmolStr, Arc<Route>>>,
 }
 
@@ -116,6 +124,15 @@
         true
     }
 
+    /// Reports the regions that routes and workspaces name and that are not among `known`.
+    pub fn find_unknown_regions(&self, known: &BTreeSet<RegionName>) -> Findings {
+        let mut findings = Findings::default();
+        for (place, region) in self.named_regions.iter().filter(|(_, name)| !known.contains(name)) {
+            findings.add(place.clone(), format!("no known zone belongs to region {region:?}"));
+        }
+        findings
+    }
+
     /// Finds the route with the longest prefix that matches `path`.
     ///
     /// The cost grows with the number of slashes in the path, not with the number of routes.
--- a/src/gateway/eligibility/mod.rs
+++ b/src/gateway/eligibility/mod.rs
@@ -6,19 +6,23 @@
 pub mod endpoint_limits;
 pub mod endpoints;
 pub mod health;
+pub mod regions;
 pub mod zone_drains;
 
 use endpoints::Endpoint;
+use regions::RegionSet;
 
 use crate::ids::Moment;
 
 /// What a rule needs to know of a send, besides the endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SendContext {
     /// Time of the question.
     pub now: Moment,
     /// Number of entries that send to the same endpoints, this one included.
     pub entries: usize,
+    /// Regions that the request allows.
+    pub allowed_regions: RegionSet,
 }
 
 /// Whether an endpoint may be sent to.
@@ -45,7 +49,7 @@
 ///     id: "engine-1".into(), addr: "127.0.0.1:8080".parse().unwrap(), zone: "zone-1".into(), slots: 4,
 /// };
 /// let health = Mutex::new(Health::default());
-/// let cx = SendContext { now: Duration::from_secs(5), entries: 1 };
+/// let cx = SendContext { now: Duration::from_secs(5), entries: 1, ..SendContext::default() };
 /// assert_eq!(health.check(&cx, &endpoint), Eligibility::Allowed);
 /// health.lock().record_unreachable(cx.now, &endpoint.id);
 /// assert!(matches!(health.check(&cx, &endpoint), Eligibility::Until(_)));
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -54,6 +54,8 @@
         return Err(refuse(gateway, &caller.id, "no service", default_retry_after(&caller)));
     };
     let priority = workspace.as_ref().and_then(|w| w.priority).unwrap_or(route.priority);
+    let of_workspace = workspace.as_ref().map(|w| w.allowed_regions.clone()).unwrap_or_default();
+    let allowed_regions = route.allowed_regions.and(&of_workspace);
     let wait_limit = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
     let body = read_body(gateway, &config, &caller, body, wait_limit).await?;
     let suspect_keys = crash_watch::suspect_keys(&caller, &head, &body);
@@ -68,6 +70,7 @@
         head,
         body,
         priority,
+        allowed_regions,
         workspace: workspace.map(|w| w.name.clone()),
         started,
         deadline: started + wait_limit,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use super::eligibility::endpoint_limits::{EndpointLimits, LimitChange};
 use super::eligibility::endpoints::{Endpoint, Endpoints};
 use super::eligibility::health::Health;
+use super::eligibility::regions::Regions;
 use super::eligibility::zone_drains::{ZoneDrainChange, ZoneDrains};
 use super::eligibility::{Eligibility, EligibilityRule, SendContext};
 use super::load::in_flight::{InFlightSend, InFlightSends, SendKey};
@@ -40,6 +41,8 @@
     pub node: SmolStr,
     /// Availability zone of this node; endpoints within it are preferred.
     pub zone: SmolStr,
+    /// Region of each availability zone.
+    pub regions: Regions,
     /// Bound on retries over all entries.
     pub budget: BudgetConfig,
     /// Mechanisms in use.
@@ -55,6 +58,7 @@
         Self {
             node: SmolStr::default(),
             zone: SmolStr::default(),
+            regions: Regions::default(),
             budget: BudgetConfig::default(),
             policy: Policy::default(),
             load_bytes_per_s: 1e6,
@@ -125,9 +129,10 @@
         let (health, limits) =
             (Arc::<Mutex<Health>>::default(), Arc::<Mutex<EndpointLimits>>::default());
         let zone_drains = Arc::<Mutex<ZoneDrains>>::default();
+        let regions = Arc::new(cfg.regions.clone());
         // The limits come last: they count each question as demand for the endpoint.
         let eligibility_rules: Vec<Arc<dyn EligibilityRule>> =
-            vec![zone_drains.clone(), health.clone(), limits.clone()];
+            vec![regions, zone_drains.clone(), health.clone(), limits.clone()];
         let gateway = Self {
             cfg,
             dialect,
@@ -188,6 +193,11 @@
         match self.dialect.decode_document(document) {
             Ok(config) => {
                 event!(self.log, ConfigApplied, "version" => document.version, "from" => from);
+                let unknown = config.find_unknown_regions(&self.cfg.regions.names());
+                if !unknown.is_empty() {
+                    event!(self.log, RegionsUnknown, "version" => document.version,
+                        "findings" => unknown.to_string());
+                }
                 self.config.store(Some(Arc::new(config)));
                 self.config_applied.notify_waiters();
                 self.metrics.config_version.set(document.version);
@@ -222,7 +232,8 @@
 
     /// Whether all rules for probes allow a connection to this endpoint.
     pub fn may_probe(&self, endpoint: &Endpoint) -> bool {
-        let cx = SendContext { now: boot_now(), entries: self.in_flight.lock().entry_count() };
+        let entries = self.in_flight.lock().entry_count();
+        let cx = SendContext { now: boot_now(), entries, ..SendContext::default() };
         let mut rules = self.eligibility_rules.iter().filter(|rule| rule.covers_probes());
         rules.all(|rule| rule.check(&cx, endpoint) == Eligibility::Allowed)
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -25,6 +25,8 @@
 pub type ModelName = SmolStr;
 /// Name of an availability zone, from the inventory and the settings of nodes.
 pub type ZoneName = SmolStr;
+/// Name of a region, which consists of availability zones.
+pub type RegionName = SmolStr;
 /// Identity of a caller's request, which log lines and headers carry.
 pub type RequestId = SmolStr;
 /// Number of tokens of a prompt, an answer or KV memory.
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -1,6 +1,7 @@
 //! HTTP API of control on the platform: the configuration document and the zone drains of operators,
 //! and the announcements of endpoints.
 
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +27,7 @@
 use crate::control::service::{CallError, ControlService, ZoneDrainError};
 use crate::document::MAX_DOCUMENT_BYTES;
 use crate::event;
+use crate::ids::RegionName;
 use crate::wire::{Announcement, Document, Standing};
 
 /// Path at which operators read and replace the configuration document.
@@ -72,10 +74,12 @@
     Draining,
 }
 
-/// Serves requests on a host that runs a control replica, until cancelled.
+/// Serves requests on a host that runs a control replica, until cancelled. `regions` are those of
+/// the settings; a document may name others, which is logged.
 pub async fn serve(
     listener: TcpListener,
     service: ControlService,
+    regions: Arc<BTreeSet<RegionName>>,
     log: Logger,
     cx: CancellationToken,
 ) {
@@ -86,16 +90,23 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, service.clone(), log.clone()));
+                let regions = Arc::clone(&regions);
+                tokio::spawn(serve_connection(stream, service.clone(), regions, log.clone()));
             }
             Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
 
-async fn serve_connection(stream: TcpStream, service: ControlService, log: Logger) {
+async fn serve_connection(
+    stream: TcpStream,
+    service: ControlService,
+    regions: Arc<BTreeSet<RegionName>>,
+    log: Logger,
+) {
     let _ = stream.set_nodelay(true);
-    let handler = service_fn(move |req| handle(service.clone(), log.clone(), req));
+    let handler =
+        service_fn(move |req| handle(service.clone(), Arc::clone(&regions), log.clone(), req));
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
@@ -146,6 +157,7 @@
 
 async fn handle(
     service: ControlService,
+    regions: Arc<BTreeSet<RegionName>>,
     log: Logger,
     req: Request<Incoming>,
 ) -> Result<HttpResponse, Infallible> {
@@ -170,7 +182,9 @@
             service.hub().mark_gone(id);
             acknowledge(&service)
         }
-        (&Method::PUT, None) if path == DOCUMENT_PATH => put_document(&service, &log, body).await,
+        (&Method::PUT, None) if path == DOCUMENT_PATH => {
+            put_document(&service, &regions, &log, body).await
+        }
         (&Method::GET, None) if path == DOCUMENT_PATH => get_document(&service, &log).await,
         _ => text_response(StatusCode::NOT_FOUND, "no such call"),
     };
@@ -248,13 +262,18 @@
     }
 }
 
-async fn put_document(service: &ControlService, log: &Logger, body: Bytes) -> HttpResponse {
+async fn put_document(
+    service: &ControlService,
+    regions: &BTreeSet<RegionName>,
+    log: &Logger,
+    body: Bytes,
+) -> HttpResponse {
     // A large document takes long to check and to compress; other calls are answered meanwhile.
     let packed = spawn_blocking(move || {
-        document::decode(&body).map(|config| Document::pack(config.version, body))
+        document::decode(&body).map(|config| (Document::pack(config.version, body), config))
     });
-    let document = match packed.await {
-        Ok(Ok(document)) => document,
+    let (document, config) = match packed.await {
+        Ok(Ok(decoded)) => decoded,
         Ok(Err(findings)) => {
             event!(log, DocumentRefused, "findings" => findings.to_string());
             return text_response(StatusCode::BAD_REQUEST, &findings.to_string());
@@ -262,6 +281,11 @@
         Err(e) => return text_response(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
     };
     let version = document.version;
+    // Other processes may know more zones, so that this does not make the document invalid.
+    let unknown = config.find_unknown_regions(regions);
+    if !unknown.is_empty() {
+        event!(log, RegionsUnknown, "version" => version, "findings" => unknown.to_string());
+    }
     match service.propose_document(document).await {
         Ok(outcome) => {
             event!(log, DocumentAccepted, "version" => version, "held" => outcome.number);
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -10,7 +10,9 @@
 
 use crate::findings::{Findings, Place};
 use crate::gateway::config::{CallerLimits, GatewayConfig, RetryPolicy, Route, Service, Workspace};
+use crate::gateway::eligibility::regions::RegionSet;
 use crate::gateway::placement::engine_model::EngineModel;
+use crate::ids::RegionName;
 
 /// The document; field names are those of the platform.
 #[derive(Deserialize)]
@@ -56,6 +58,8 @@
     resumable: bool,
     /// Longest pause between two events of a stream; 0 or missing if it has none.
     itl_target_ms: Option<u64>,
+    /// Regions that requests may be sent to; all if missing or empty.
+    allowed_regions: Option<Vec<RegionName>>,
 }
 
 /// Service and its weight among the targets of a route.
@@ -131,6 +135,8 @@
     api_keys: Vec<SmolStr>,
     /// Priority of its requests; that of the route if missing.
     prio: Option<u32>,
+    /// Regions that its requests may be sent to; all if missing or empty.
+    allowed_regions: Option<Vec<RegionName>>,
 }
 
 /// Decodes and validates a document.
@@ -163,16 +169,30 @@
     for (index, route) in document.routes.iter().enumerate() {
         let place = Place::Whole(format!("Routes[{index}] {}", route.name));
         let decoded = decode_route(route, &config, &place, &mut findings);
+        add_named_regions(&mut config, &place, &route.allowed_regions);
         if !config.add_route(decoded) {
             findings.add(place, "host and path prefix are taken by another route");
         }
     }
     if let Some(workspaces) = &document.tenants {
         config.keys = Some(decode_keys(workspaces, &mut findings));
+        for (index, workspace) in workspaces.iter().enumerate() {
+            let place = Place::Whole(format!("Tenants[{index}] {}", workspace.name));
+            add_named_regions(&mut config, &place, &workspace.allowed_regions);
+        }
     }
     if findings.is_empty() { Ok(config) } else { Err(findings) }
 }
 
+fn decode_regions(regions: &Option<Vec<RegionName>>) -> RegionSet {
+    RegionSet::only(regions.iter().flatten().cloned())
+}
+
+fn add_named_regions(config: &mut GatewayConfig, place: &Place, regions: &Option<Vec<RegionName>>) {
+    let named = regions.iter().flatten().map(|region| (place.clone(), region.clone()));
+    config.named_regions.extend(named);
+}
+
 fn decode_limits(limits: &WireLimits) -> CallerLimits {
     CallerLimits {
         header_bytes: limits.max_header_bytes,
@@ -236,6 +256,7 @@
         targets,
         max_attempts: route.max_attempts.unwrap_or(1).max(1),
         public: route.public,
+        allowed_regions: decode_regions(&route.allowed_regions),
     }
 }
 
@@ -253,8 +274,11 @@
 ) -> HashMap<SmolStr, Arc<Workspace>> {
     let mut keys = HashMap::new();
     for (index, workspace) in workspaces.iter().enumerate() {
-        let decoded =
-            Arc::new(Workspace { name: workspace.name.clone(), priority: workspace.prio });
+        let decoded = Arc::new(Workspace {
+            name: workspace.name.clone(),
+            priority: workspace.prio,
+            allowed_regions: decode_regions(&workspace.allowed_regions),
+        });
         let distinct_keys: HashSet<&SmolStr> = workspace.api_keys.iter().collect();
         for key in distinct_keys {
             if keys.insert(key.clone(), Arc::clone(&decoded)).is_some() {
--- a/src/platform/roles.rs
+++ b/src/platform/roles.rs
@@ -14,6 +14,7 @@
 use crate::control::relay::{ControlRelay, RelaySettings};
 use crate::control::service::{ControlService, ServiceSettings};
 use crate::event;
+use crate::gateway::eligibility::regions::Regions;
 use crate::gateway::placement::policy::Policy;
 use crate::gateway::run::{self, GatewayAddresses};
 use crate::gateway::state::{Gateway, GatewaySettings};
@@ -44,6 +45,7 @@
     let cfg = GatewaySettings {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
+        regions: Regions::new(settings.zones.clone()),
         budget: settings.budget.clone(),
         policy,
         load_bytes_per_s: settings.link_bytes_per_s * LOAD_LINK_SHARE,
@@ -82,10 +84,11 @@
     tokio::spawn(http::serve(metrics_listener, probes, cx.clone()));
     match settings.data_dir.clone() {
         Some(data) => {
+            let regions = Arc::new(settings.zones.values().cloned().collect());
             let cfg = build_service_settings(settings, path, data, addr);
             let service = ControlService::start(cfg, log.clone(), cx.clone()).await?;
             tokio::spawn(service.clone().update_probes(readiness, metrics, cx.clone()));
-            tokio::spawn(control::serve(listener, service, log.clone(), cx.clone()));
+            tokio::spawn(control::serve(listener, service, regions, log.clone(), cx.clone()));
         }
         None => {
             let cfg = build_relay_settings(settings, path);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -13,7 +13,7 @@
 use crate::control::service::SeedSource;
 use crate::findings::{Findings, Place};
 use crate::gateway::budget::BudgetConfig;
-use crate::ids::ZoneName;
+use crate::ids::{RegionName, ZoneName};
 
 /// Environment variable with the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "BITTERNLEAD_SETTINGS";
@@ -29,7 +29,7 @@
     /// Availability zone of this host.
     pub zone: SmolStr,
     /// Availability zones with the region of each; empty if the file names none.
-    pub zones: BTreeMap<ZoneName, SmolStr>,
+    pub zones: BTreeMap<ZoneName, RegionName>,
     /// Address of this host; listeners without an address of their own bind to it.
     pub ip: IpAddr,
     /// Address for callers; set for entries only.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod poison;
 mod promises;
+mod regions;
 mod requests;
 mod servers;
 mod slow_readers;
--- a/tests/platform/zone_drains.rs
+++ b/tests/platform/zone_drains.rs
@@ -26,14 +26,14 @@
 
 /// A deployment in `zone-a`, with an engine and an order server in each of `zone-b` and `zone-c`.
 /// Entries prefer neither of the two zones.
-struct Fixture {
-    nodes: Deployment,
-    records: Records,
-    servers: Vec<Server>,
+pub struct Fixture {
+    pub nodes: Deployment,
+    pub records: Records,
+    pub servers: Vec<Server>,
 }
 
 impl Fixture {
-    async fn start(controls: usize, entries: usize) -> Self {
+    pub async fn start(controls: usize, entries: usize) -> Self {
         let mut nodes = Deployment::start(controls, entries).await;
         let document = nodes.document();
         nodes.put(&document).await;
@@ -50,7 +50,13 @@
         fixture
     }
 
-    async fn add_server(&mut self, zone: &'static str, id: &str, service: &'static str, at: usize) {
+    pub async fn add_server(
+        &mut self,
+        zone: &'static str,
+        id: &str,
+        service: &'static str,
+        at: usize,
+    ) {
         let control = (0..self.nodes.controls.len()).map(|c| self.nodes.operators_address(c));
         let (addr, control) = (self.nodes.server_address(at), control.collect());
         let server = Server::start_in(zone, id, service, addr, control, &self.records).await;
@@ -58,7 +64,7 @@
     }
 
     /// Waits until an entry sends requests to a server.
-    async fn wait_used(&self, entry: usize, server: &str) {
+    pub async fn wait_used(&self, entry: usize, server: &str) {
         wait_until("an entry that sends to a server", async || {
             let path = if server.starts_with("engine") { "/ask/x" } else { "/book/status/x" };
             let req =
@@ -84,13 +90,13 @@
     }
 
     /// Number of requests that arrived at servers of a zone after a time.
-    fn arrivals(&self, zone: &str, after: Instant) -> usize {
+    pub fn arrivals(&self, zone: &str, after: Instant) -> usize {
         let runs = self.records.runs.lock();
         runs.iter().filter(|r| r.server.ends_with(zone) && r.at > after).count()
     }
 
     /// Sends requests to an entry and asserts that they are answered, by servers outside of a zone.
-    async fn assert_avoids(&self, entry: usize, zone: &str) {
+    pub async fn assert_avoids(&self, entry: usize, zone: &str) {
         let start = Instant::now();
         for _ in 0..12 {
             let (status, _, body) = self.nodes.send(entry, plain("GET", "/book/status/x")).await;
--- a/tests/platform_words.rs
+++ b/tests/platform_words.rs
@@ -17,6 +17,7 @@
     "priority-class",
     "heartbeataddr",
     "coldleftms",
+    "allowedregions",
     "goalms",
     "itltargetms",
     "bitternlead_settings",
--- a/tests/zone_drains.rs
+++ b/tests/zone_drains.rs
@@ -86,7 +86,7 @@
 #[test]
 fn the_rule_follows_the_announced_zone() {
     let drains = Arc::new(Mutex::new(ZoneDrains::default()));
-    let cx = SendContext { now: at(1), entries: 1 };
+    let cx = SendContext { now: at(1), entries: 1, ..SendContext::default() };
     assert_eq!(drains.check(&cx, &endpoint("a")), Eligibility::Allowed);
     drains.lock().apply(at(1), &report(1, &["a"]));
     assert_eq!(drains.check(&cx, &endpoint("a")), Eligibility::Never);
