Pool evidence on endpoints over all entries

Cause: an entry learns of failures, slowness and refusals of endpoints only from its own sends. With many entries each has almost no information, and each finds a bad endpoint out for itself.

Change: load reports carry what the sender observed in the last second (SharedLoad.evidence = 10, at most 32 endpoints, every 400 ms). eligibility::pooled_evidence merges it with the own health: estimates are the worse of both, and an endpoint that two entries see refuse is left out for at most 5 s (E642). The worst report of another entry is never believed unless this entry saw a failure too. What relay keeps of a stream moves to stream_progress, without a change.

--- a/src/events.rs
+++ b/src/events.rs
@@ -111,6 +111,7 @@
     EndpointNamedTime = 627, Info, "endpoint wants no requests for a time";
     MemoryRefused = 640, Warning, "no memory for the body of a request";
     CallerNotReading = 641, Warning, "caller read nothing, disconnected";
+    EndpointAvoided = 642, Info, "endpoint avoided for a time, several entries saw it refuse";
     DocumentAccepted = 620, Info, "configuration document accepted";
     DocumentRefused = 621, Warning, "configuration document refused";
     AnnouncementRefused = 622, Warning, "announcement refused";
--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -14,8 +14,8 @@
 use super::crash_watch::{self, Suspect, tells_its_end};
 use super::dialect::{CallerHead, SendOptions};
 use super::eligibility::endpoints::Endpoint;
-use super::pass_through;
 use super::eligibility::regions::RegionSet;
+use super::pass_through;
 use super::reason::Reason;
 use super::responses::{
     ResponseBody, body_from_bytes, jittered_retry_after, refuse, spread_retry_after, text_response,
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -167,11 +167,10 @@
                 load[index] += 1.0;
             }
         }
-        let health = self.gateway.health.lock();
         let mut rng = rand::rng();
         let cost = |index: usize| {
             let e = &candidates[index];
-            let (failure_rate, slowness) = health.estimate(now, &e.id);
+            let (failure_rate, slowness) = self.gateway.estimate(now, &e.id);
             let cross_zone = if e.zone == self.gateway.cfg.zone { 0.0 } else { CROSS_ZONE_COST };
             (load[index] + 0.2) * slowness / f64::from(e.slots.max(1)) + failure_rate + cross_zone
         };
@@ -181,7 +180,6 @@
             .collect();
         let best = (0..candidates.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]));
         let Some(index) = best else { return Choice::NoEndpoint };
-        drop(health);
         let endpoint = candidates[index].clone();
         let send =
             InFlightSend { endpoint: endpoint.id.clone(), sent_at: now, ..InFlightSend::default() };
@@ -308,14 +306,13 @@
     fn engine_states(&self, now: Moment, candidates: &[Endpoint]) -> Vec<EngineState> {
         let model = self.service.engine.clone().unwrap_or_default();
         let in_flight = self.gateway.in_flight.lock();
-        let health = self.gateway.health.lock();
         let ids = candidates.iter().map(|e| &e.id);
         let sends = in_flight.all().chain(in_flight.ended_prefills());
         let mut states = build_states(&model, now, ids, sends);
         let (same_zone_ms, cross_zone_ms) = ROUND_TRIPS_MS;
         for (state, e) in states.iter_mut().zip(candidates) {
             if self.gateway.cfg.policy.health_estimates {
-                (state.failure_rate, state.slowness) = health.estimate(now, &e.id);
+                (state.failure_rate, state.slowness) = self.gateway.estimate(now, &e.id);
             }
             state.round_trip_ms =
                 if e.zone == self.gateway.cfg.zone { same_zone_ms } else { cross_zone_ms };
--- a/src/gateway/control_updates.rs
+++ b/src/gateway/control_updates.rs
@@ -68,6 +68,7 @@
         }
         if update.full || !update.announcements.is_empty() {
             self.gateway.endpoints.lock().apply_update(&name, update.announcements, update.full);
+            self.gateway.update_evidence_starts();
         }
         if update.load_addresses_changed {
             self.peers.replace(control, &update.load_addresses, self.load_address);
--- a/src/gateway/eligibility/endpoints.rs
+++ b/src/gateway/eligibility/endpoints.rs
@@ -40,6 +40,8 @@
     /// Endpoints that said in an answer that they leave, with the time of the start that said so.
     leaving: HashMap<EndpointId, u64>,
     ready: HashMap<SmolStr, Arc<Vec<Endpoint>>>,
+    /// Times of the starts of the ready endpoints, as they announce them.
+    starts: HashMap<EndpointId, u64>,
 }
 
 impl Endpoints {
@@ -105,6 +107,11 @@
         self.ready.values().map(|of_service| of_service.len()).sum()
     }
 
+    /// Ready endpoints with the times of their starts.
+    pub fn starts(&self) -> impl Iterator<Item = (&EndpointId, u64)> {
+        self.starts.iter().map(|(id, born)| (id, *born))
+    }
+
     /// Whether an endpoint is ready.
     pub fn is_ready(&self, id: &str) -> bool {
         self.ready.values().any(|of_service| of_service.iter().any(|e| e.id == id))
@@ -127,12 +134,14 @@
             }
         }
         let mut ready: HashMap<SmolStr, Vec<Endpoint>> = HashMap::new();
+        self.starts.clear();
         for announcement in by_address.into_values().filter(|s| s.standing() == Standing::Ready) {
             let Ok(addr) = announcement.address.parse() else { continue };
             let (id, zone) = (EndpointId::new(&announcement.id), SmolStr::new(&announcement.zone));
             if self.leaving.contains_key(&id) {
                 continue;
             }
+            self.starts.insert(id.clone(), announcement.born);
             let endpoint = Endpoint { id, addr, zone, slots: announcement.slots };
             ready.entry(SmolStr::new(&announcement.service)).or_default().push(endpoint);
         }
--- a/src/gateway/eligibility/health.rs
+++ b/src/gateway/eligibility/health.rs
@@ -35,8 +35,32 @@
     retry_at: Moment,
     /// Until when the endpoint wants no requests, as it said itself.
     unwilling_until: Moment,
+    /// Sends and failures, weighted by age like the failure rate.
+    sends: f64,
+    failures: f64,
 }
 
+/// What this entry observed of an endpoint, as of the last observation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Observation {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// When it was last observed.
+    pub observed_at: Moment,
+    /// Failed sends, refused connections included, weighted by age.
+    pub failures: f64,
+    /// All sends, weighted by age.
+    pub sends: f64,
+    /// Excess over the predicted time, as a fraction of that.
+    pub slowness: f64,
+    /// When the endpoint may be sent to again.
+    pub available_at: Moment,
+}
+
+/// Weighted number of failures from which this entry counts as having seen one. One failure counts
+/// for 5 s.
+const SEEN_FAILURE: f64 = 0.36;
+
 /// Health of all endpoints that were sent to.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
@@ -47,6 +71,7 @@
     /// Records a successful send; `slowness` is its time divided by the predicted time.
     pub fn record_success(&mut self, now: Moment, id: &EndpointId, slowness: Option<f64>) {
         let health = self.decay(now, id);
+        health.sends += 1.0;
         health.failure_rate *= 1.0 - SAMPLE_WEIGHT;
         health.failed_connects = 0;
         if let Some(observed) = slowness {
@@ -58,12 +83,16 @@
     /// Records a send that the endpoint failed.
     pub fn record_failure(&mut self, now: Moment, id: &EndpointId) {
         let health = self.decay(now, id);
+        health.sends += 1.0;
+        health.failures += 1.0;
         health.failure_rate += (1.0 - health.failure_rate) * SAMPLE_WEIGHT;
     }
 
     /// Records a failed connection and starts the backoff.
     pub fn record_unreachable(&mut self, now: Moment, id: &EndpointId) {
         let health = self.decay(now, id);
+        health.sends += 1.0;
+        health.failures += 1.0;
         let backoff = INITIAL_BACKOFF * 2u32.pow(health.failed_connects.min(3));
         health.failed_connects += 1;
         health.retry_at = now + backoff.min(MAX_BACKOFF);
@@ -102,6 +131,25 @@
         (health.failure_rate * factor, 1.0 + health.slowness * factor)
     }
 
+    /// Whether a send of this entry failed in the last seconds, or the endpoint wants no requests.
+    pub fn has_failure(&self, now: Moment, id: &EndpointId) -> bool {
+        self.records.get(id).is_some_and(|r| {
+            r.failures * decay_factor(now, r.updated_at) >= SEEN_FAILURE || r.unwilling_until > now
+        })
+    }
+
+    /// What was observed of each endpoint that was sent to.
+    pub fn observations(&self) -> impl Iterator<Item = Observation> {
+        self.records.iter().map(|(id, r)| Observation {
+            endpoint: id.clone(),
+            observed_at: r.updated_at,
+            failures: r.failures,
+            sends: r.sends,
+            slowness: r.slowness,
+            available_at: r.retry_at.max(r.unwilling_until),
+        })
+    }
+
     /// Drops the health of endpoints for which `is_listed` is false.
     pub fn retain(&mut self, is_listed: impl Fn(&EndpointId) -> bool) {
         self.records.retain(|id, _| is_listed(id));
@@ -112,6 +160,8 @@
         let factor = decay_factor(now, health.updated_at);
         health.failure_rate *= factor;
         health.slowness *= factor;
+        health.sends *= factor;
+        health.failures *= factor;
         health.updated_at = now;
         health
     }
@@ -129,6 +179,7 @@
     }
 }
 
-fn decay_factor(now: Moment, updated_at: Moment) -> f64 {
+/// Factor by which what was observed at a time still counts.
+pub fn decay_factor(now: Moment, updated_at: Moment) -> f64 {
     (-now.saturating_sub(updated_at).as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp()
 }
--- a/src/gateway/eligibility/mod.rs
+++ b/src/gateway/eligibility/mod.rs
@@ -6,6 +6,7 @@
 pub mod endpoint_limits;
 pub mod endpoints;
 pub mod health;
+pub mod pooled_evidence;
 pub mod regions;
 pub mod zone_drains;
 
--- a/src/gateway/load/load_exchange.rs
+++ b/src/gateway/load/load_exchange.rs
@@ -184,10 +184,12 @@
             let mut in_flight = gateway.in_flight.lock();
             (in_flight.take_changes(now), in_flight.encode_local(now))
         };
+        let evidence = gateway.report_evidence(now);
         let template = SharedLoad {
             node: gateway.cfg.node.to_string(),
             incarnation,
             limits: gateway.limits.lock().report(now),
+            evidence,
             ..SharedLoad::default()
         };
         let mut sent_bytes = 0;
@@ -221,6 +223,7 @@
             partial: !(needs_all && is_first),
             flights: rest[..rest.len().min(MAX_FLIGHTS_PER_DATAGRAM)].to_vec(),
             ended: if is_first && !needs_all { changes.ended.clone() } else { Vec::new() },
+            evidence: if is_first { template.evidence.clone() } else { Vec::new() },
             ..template.clone()
         }
     };
@@ -255,6 +258,13 @@
         for (id, change) in changes {
             gateway.log_limit(&id, change, &node);
         }
+        if gateway.cfg.policy.pooled_evidence {
+            let avoided = gateway.pooled_evidence.lock().apply_report(now, &node, &load.evidence);
+            for (id, time) in avoided {
+                event!(gateway.log, EndpointAvoided, "endpoint" => id.as_str(),
+                    "from" => node.as_str(), "ms" => time.as_millis() as u64);
+            }
+        }
         let outcome = gateway.in_flight.lock().apply_report(now, load);
         if outcome != ReportOutcome::Incomplete {
             continue;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,4 +27,5 @@
 pub mod send;
 pub mod startup;
 pub mod state;
+pub mod stream_progress;
 pub mod stream_window;
--- a/src/gateway/placement/policy.rs
+++ b/src/gateway/placement/policy.rs
@@ -33,6 +33,8 @@
     /// Bodies and answers are held within a budget where the settings name a memory limit, and
     /// callers that read nothing are disconnected.
     pub memory_budget: bool,
+    /// Entries tell each other what they observe of endpoints.
+    pub pooled_evidence: bool,
 }
 
 impl Default for Policy {
@@ -52,6 +54,7 @@
             load_exchange: true,
             wait_for_config: true,
             memory_budget: true,
+            pooled_evidence: true,
         }
     }
 }
@@ -103,6 +106,7 @@
             ("load-exchange", &mut self.load_exchange),
             ("wait-for-config", &mut self.wait_for_config),
             ("memory-budget", &mut self.memory_budget),
+            ("pooled-evidence", &mut self.pooled_evidence),
         ]
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,10 +20,10 @@
 use super::responses::ResponseBody;
 use super::send::{EndpointResponse, SendOutcome, error_chain, send};
 use super::state::InFlightGuard;
-use super::stream_window::{EventSender, Forwarded, SLOW_CALLER_WAIT, event_queue};
+use super::stream_progress::{Progress, StreamAnswer};
+use super::stream_window::{EventSender, Forwarded, event_queue};
 use crate::clock::boot_now;
 use crate::event;
-use crate::ids::Moment;
 use crate::metrics::ClassLabels;
 
 /// Minimum idle time within a stream before it fails over to another engine.
@@ -35,9 +35,6 @@
 /// Maximum wait for an engine that takes over an idle stream.
 const FAILOVER_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Time after the first event from which a stream counts as answered without a crash.
-const ANSWERED_TIME: Duration = Duration::from_millis(1000);
-
 /// Value of the log field `ended` for a stream that was forwarded completely.
 const COMPLETE: &str = "complete";
 
@@ -65,33 +62,6 @@
     sent_at: Duration,
 }
 
-/// Progress of a stream as the caller sees it.
-struct Progress {
-    last_event: Option<u64>,
-    events: u64,
-    first_at: Option<Duration>,
-    last_event_at: Duration,
-    longest_pause: Duration,
-    /// Longest wait for the caller to read within the present segment.
-    longest_caller_wait: Duration,
-}
-
-impl Progress {
-    fn is_caller_slow(&self) -> bool {
-        self.longest_caller_wait >= SLOW_CALLER_WAIT
-    }
-
-    fn record_event(&mut self) {
-        let now = boot_now();
-        if self.events > 0 {
-            let pause = now.saturating_sub(self.last_event_at);
-            self.longest_pause = self.longest_pause.max(pause);
-        }
-        self.last_event_at = now;
-        self.events += 1;
-    }
-}
-
 /// Starts to forward a stream and returns the head of the response to the caller.
 pub fn start(
     mut req: ActiveRequest,
@@ -126,14 +96,7 @@
 }
 
 async fn run(mut req: ActiveRequest, segment: Segment, tx: EventSender) {
-    let mut progress = Progress {
-        last_event: req.caller.last_event,
-        events: 0,
-        first_at: None,
-        last_event_at: Duration::ZERO,
-        longest_pause: Duration::ZERO,
-        longest_caller_wait: Duration::ZERO,
-    };
+    let mut progress = Progress::new(req.caller.last_event);
     let mut next = Some(segment);
     let mut ended = COMPLETE;
     while let Some(segment) = next.take() {
@@ -339,35 +302,6 @@
     SegmentEnd::Complete
 }
 
-/// Whether an endpoint has answered a stream for long enough not to crash under it.
-#[derive(Default)]
-struct StreamAnswer {
-    first_event_at: Option<Moment>,
-    is_recorded: bool,
-}
-
-impl StreamAnswer {
-    fn record_event(&mut self, req: &ActiveRequest) {
-        let now = boot_now();
-        let first = *self.first_event_at.get_or_insert(now);
-        if now.saturating_sub(first) >= ANSWERED_TIME {
-            self.record(req);
-        }
-    }
-
-    fn record(&mut self, req: &ActiveRequest) {
-        if !std::mem::replace(&mut self.is_recorded, true) {
-            req.gateway.record_answer(&req.suspect_keys);
-        }
-    }
-
-    fn record_break(&self, req: &ActiveRequest, endpoint: &Endpoint, progress: &Progress) {
-        if !self.is_recorded && !progress.is_caller_slow() {
-            req.suspect_crash(endpoint);
-        }
-    }
-}
-
 fn return_connection(
     req: &ActiveRequest,
     closes_connection: bool,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -126,6 +126,7 @@
         readiness.set(is_ready(&gateway));
         gateway.pool.close_expired();
         gateway.update_memory_metrics();
+        gateway.pooled_evidence.lock().expire(boot_now());
         gateway.in_flight.lock().expire(boot_now());
         gateway.endpoints.lock().expire(boot_now());
         gateway.metrics.in_flight.set(gateway.in_flight.lock().local_count() as i64);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use super::eligibility::endpoint_limits::{EndpointLimits, LimitChange};
 use super::eligibility::endpoints::{Endpoint, Endpoints};
 use super::eligibility::health::Health;
+use super::eligibility::pooled_evidence::{EvidenceRule, PooledEvidence};
 use super::eligibility::regions::Regions;
 use super::eligibility::zone_drains::{ZoneDrainChange, ZoneDrains};
 use super::eligibility::{Eligibility, EligibilityRule, SendContext};
@@ -32,7 +33,7 @@
 use crate::ids::Moment;
 use crate::metrics::{ClassLabels, KindLabels, Metrics, RequestLabels};
 use crate::quarantine::Quarantine;
-use crate::wire::{self, Document};
+use crate::wire::{self, Document, EndpointEvidence};
 
 /// Settings that the gateway's decisions depend on.
 #[derive(Clone, Debug)]
@@ -89,6 +90,8 @@
     pub smoothed_backlog: Mutex<MovingAverage>,
     /// Health of endpoints as this entry sees it.
     pub health: Arc<Mutex<Health>>,
+    /// Evidence on endpoints that other entries report.
+    pub pooled_evidence: Arc<Mutex<PooledEvidence>>,
     /// Rates that endpoints name for all entries together.
     pub limits: Arc<Mutex<EndpointLimits>>,
     /// Availability zones that operators drain.
@@ -130,9 +133,15 @@
             (Arc::<Mutex<Health>>::default(), Arc::<Mutex<EndpointLimits>>::default());
         let zone_drains = Arc::<Mutex<ZoneDrains>>::default();
         let regions = Arc::new(cfg.regions.clone());
+        let pooled_evidence = Arc::<Mutex<PooledEvidence>>::default();
+        let mut eligibility_rules: Vec<Arc<dyn EligibilityRule>> =
+            vec![regions, zone_drains.clone(), health.clone()];
+        if cfg.policy.pooled_evidence {
+            let (health, pooled) = (Arc::clone(&health), Arc::clone(&pooled_evidence));
+            eligibility_rules.push(Arc::new(EvidenceRule { health, pooled }));
+        }
         // The limits come last: they count each question as demand for the endpoint.
-        let eligibility_rules: Vec<Arc<dyn EligibilityRule>> =
-            vec![regions, zone_drains.clone(), health.clone(), limits.clone()];
+        eligibility_rules.push(limits.clone());
         let gateway = Self {
             cfg,
             dialect,
@@ -144,6 +153,7 @@
             in_flight: Mutex::default(),
             smoothed_backlog: Mutex::default(),
             health,
+            pooled_evidence,
             limits,
             zone_drains,
             eligibility_rules,
@@ -238,6 +248,35 @@
         rules.all(|rule| rule.check(&cx, endpoint) == Eligibility::Allowed)
     }
 
+    /// Failure rate, 0 to 1, of an endpoint and the factor by which it is slower than predicted, as
+    /// this entry and others see it.
+    pub fn estimate(&self, now: Moment, id: &EndpointId) -> (f64, f64) {
+        let health = self.health.lock();
+        let own = health.estimate(now, id);
+        if !self.cfg.policy.pooled_evidence {
+            return own;
+        }
+        let has_own_failure = health.has_failure(now, id);
+        self.pooled_evidence.lock().merge(now, id, own, has_own_failure)
+    }
+
+    /// Builds the report on endpoints for other entries; empty if they share none.
+    pub fn report_evidence(&self, now: Moment) -> Vec<EndpointEvidence> {
+        if !self.cfg.policy.pooled_evidence {
+            return Vec::new();
+        }
+        let health = self.health.lock();
+        self.pooled_evidence.lock().report(now, &health)
+    }
+
+    /// Takes the endpoints that are listed now as those on which evidence counts.
+    pub fn update_evidence_starts(&self) {
+        if self.cfg.policy.pooled_evidence {
+            let endpoints = self.endpoints.lock();
+            self.pooled_evidence.lock().set_starts(boot_now(), endpoints.starts());
+        }
+    }
+
     /// Whether all rules allow a send to this endpoint.
     pub fn is_eligible(&self, cx: &SendContext, endpoint: &Endpoint) -> bool {
         self.eligibility_rules.iter().all(|rule| rule.check(cx, endpoint) == Eligibility::Allowed)
--- a/src/platform/roles.rs
+++ b/src/platform/roles.rs
@@ -38,10 +38,11 @@
 pub async fn run_entry(
     settings: PlatformSettings,
     path: PathBuf,
-    policy: Policy,
+    mut policy: Policy,
     log: Logger,
 ) -> Result<(), RunError> {
     log_hangups(log.clone())?;
+    policy.pooled_evidence &= settings.pooled_evidence;
     let cfg = GatewaySettings {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -56,6 +56,8 @@
     pub endpoint_timeout: Duration,
     /// Bandwidth of this host's link, in bytes per second.
     pub link_bytes_per_s: f64,
+    /// Whether entries tell each other what they observe of endpoints.
+    pub pooled_evidence: bool,
     /// Memory that a process on this host may use, in bytes; `None` if it is not limited.
     pub memory_limit: Option<u64>,
 }
@@ -123,6 +125,7 @@
                 window: Duration::from_secs_f64(fields.number("/Bounds/RetryWindowS", 10.0)),
             },
             link_bytes_per_s: fields.number("/Limits/LinkMbps", 1000.0) * 1e6 / 8.0,
+            pooled_evidence: fields.list_contains("/Contracts", "places"),
             memory_limit: fields.memory_limit("/Limits/MemoryMb"),
             endpoint_timeout: Duration::from_secs_f64(
                 heartbeat * ENDPOINT_TIMEOUT_HEARTBEATS / 1000.0,
@@ -278,6 +281,12 @@
         self.value.pointer(pointer).and_then(Value::as_bool).unwrap_or(false)
     }
 
+    /// Whether a list of strings contains a word; a missing list contains none.
+    fn list_contains(&self, pointer: &str, word: &str) -> bool {
+        let list = self.value.pointer(pointer).and_then(Value::as_array);
+        list.is_some_and(|list| list.iter().any(|item| item.as_str() == Some(word)))
+    }
+
     fn addresses(&mut self, pointer: &str) -> Vec<SocketAddr> {
         let Some(list) = self.value.pointer(pointer).and_then(Value::as_array) else {
             self.add(pointer, "expected a list of addresses");
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1066,6 +1066,9 @@
     /// Endpoints that named a rate of requests, or did so shortly before.
     #[prost(message, repeated, tag = "8")]
     pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+    /// What the sender observed of endpoints in the last second, the newest first; at most 32.
+    #[prost(message, repeated, tag = "10")]
+    pub evidence: ::prost::alloc::vec::Vec<EndpointEvidence>,
 }
 /// Rate of requests that an endpoint takes from all entries together.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -1082,6 +1085,28 @@
     #[prost(uint32, tag = "4")]
     pub sends: u32,
 }
+/// What an entry observed of an endpoint. Counts are weighted: older observations count less.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointEvidence {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Time since the last observation.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    /// Failed sends, refused connections included.
+    #[prost(uint32, tag = "3")]
+    pub failures: u32,
+    /// All sends.
+    #[prost(uint32, tag = "4")]
+    pub sends: u32,
+    /// Time by which the endpoint exceeded the predicted one, in percent of that.
+    #[prost(uint32, tag = "5")]
+    pub slowness_percent: u32,
+    /// Time for which the sender does not send to the endpoint, because it refused a connection or
+    /// wants no requests.
+    #[prost(uint32, tag = "6")]
+    pub refused_for_ms: u32,
+}
 /// One request in flight at an endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Flight {
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -122,6 +122,7 @@
     pub controls: Vec<Process>,
     pub entries: Vec<Process>,
     layout: Layout,
+    contracts: Vec<String>,
     network: u8,
     version: u64,
 }
@@ -129,18 +130,30 @@
 impl Deployment {
     /// Starts control replicas, all of which are seeds, and entries.
     pub async fn start(controls: usize, entries: usize) -> Self {
+        Self::start_with(controls, entries, &[]).await
+    }
+
+    /// Starts control replicas, all of which are seeds, and entries; the settings name these
+    /// contracts.
+    pub async fn start_with(controls: usize, entries: usize, contracts: &[&str]) -> Self {
         let seeds = (0..controls).collect();
         let tolerance = controls / 2;
-        Self::start_layout(Layout { controls, disks: controls, entries, seeds, tolerance }).await
+        let layout = Layout { controls, disks: controls, entries, seeds, tolerance };
+        Self::start_processes(layout, contracts).await
     }
 
     /// Starts a process on every host of a layout.
     pub async fn start_layout(layout: Layout) -> Self {
+        Self::start_processes(layout, &[]).await
+    }
+
+    async fn start_processes(layout: Layout, contracts: &[&str]) -> Self {
+        let contracts = contracts.iter().map(|name| (*name).to_owned()).collect();
         let dir = tempfile::tempdir().unwrap();
         let network = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
         let Layout { controls, entries, .. } = layout;
         let mut nodes =
-            Self { dir, controls: vec![], entries: vec![], layout, network, version: 0 };
+            Self { dir, controls: vec![], entries: vec![], layout, contracts, network, version: 0 };
         for at in 0..controls {
             let settings = nodes.write_settings("control", at, true);
             let log = nodes.dir.path().join(format!("control-{at}.log"));
@@ -190,8 +203,8 @@
             "Bootstrap": first, "DataDir": data, "HeartbeatMs": 400,
             "FaultTolerance": { "Machines": self.layout.tolerance },
             "Bounds": { "GraceS": 8, "RetryRatio": 0.2, "RetryWindowS": 10, "RetrySlack": 100 },
-            "Limits": { "MemoryMb": MEMORY_MB },
             "Zones": { "zone-a": "west", "zone-b": "east", "zone-c": "south" },
+            "Limits": { "MemoryMb": MEMORY_MB }, "Contracts": self.contracts,
             "Unknown": { "Later": true },
         });
         let path = self.dir.path().join(format!("{role}-{host}.json"));
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! with simulated servers, callers and operators.
 
 mod deployment;
+mod evidence;
 mod limits;
 mod poison;
 mod promises;
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -19,7 +19,12 @@
 /// Starts one control replica, entries, two engines and two order servers, and waits until the
 /// first entry sends requests to both order servers.
 pub async fn start_fixture(entries: usize) -> Fixture {
-    let mut nodes = Deployment::start(1, entries).await;
+    start_fixture_with(entries, &[]).await
+}
+
+/// Starts a fixture whose settings name these contracts.
+pub async fn start_fixture_with(entries: usize, contracts: &[&str]) -> Fixture {
+    let mut nodes = Deployment::start_with(1, entries, contracts).await;
     let document = nodes.document();
     nodes.put(&document).await;
     let records = Records::default();
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -231,6 +231,21 @@
     assert!(findings.contains("/Limits/MemoryMb"), "{findings}");
 }
 
+#[test]
+fn evidence_is_shared_only_where_the_settings_call_for_it() {
+    let settings = |contracts: Value| {
+        let value = serde_json::json!({
+            "NodeName": "n", "Zone": "z", "Ip": "10.0.0.1", "Seeds": [],
+            "PortRange": [7340, 7355], "Contracts": contracts,
+        });
+        PlatformSettings::decode("settings.json", &value).unwrap().pooled_evidence
+    };
+    assert!(settings(serde_json::json!(["giants", "places"])));
+    for other in [serde_json::json!([]), serde_json::json!(["marketplaces"]), Value::Null] {
+        assert!(!settings(other));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_disk_that_refuses_writes_for_a_while_ends_no_process_and_loses_nothing() {
     let mut nodes = Deployment::start(1, 0).await;
