Make the cost of a decision independent of the fleet's size

Each decision grouped all sends of the fleet by engine and derived the state of every engine: 1.9 ms for a short prompt and 17 ms for a long one at 3,000 engines with 12,000 sends.

Sends in flight and ended prefills are indexed by endpoint, and the index follows each send that is added, changed or removed and each report, which costs its changes only. Decisions ask an EngineSource, which derives states on demand: a short prompt pays for its samples. Beyond 128 endpoints a request draws 128 of them at equal distances before eligibility is asked, so that the share of engines for short prompts holds in the draw. The mean backlog is sampled every 50 ms instead of at each short prompt.

A proptest checks that decisions on derived states equal those on all states.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -13,7 +13,11 @@
 use super::eligibility::endpoints::Endpoint;
 use super::load::in_flight::InFlightSend;
 use super::placement::admission::mean_backlog_ms;
-use super::placement::engine_state::{EngineState, build_states};
+use super::placement::engine_model::EngineModel;
+use super::placement::engine_source::{EngineSource, KnownEngines};
+use super::placement::engine_state::EngineState;
+use super::placement::fleet_sample::{MAX_CANDIDATES, draw_candidates};
+use super::placement::plan_search::is_worth_splitting;
 use super::placement::{self, Decision, PlacementRequest, Plan};
 use super::reservation::Reservation;
 use super::state::InFlightGuard;
@@ -39,6 +43,9 @@
 /// before and retries with the rest of its time.
 const RETRY_TIMEOUT_SHARE: f64 = 0.97;
 
+/// Fraction of the drawn endpoints below which so few may be sent to that all endpoints are asked.
+const MIN_USABLE_SHARE: f64 = 0.25;
+
 /// Retry delay suggested when KV cache could not be reserved.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -91,7 +98,8 @@
         }
     }
 
-    /// Ready endpoints that were not tried for this request and that all rules allow.
+    /// Ready endpoints that were not tried for this request and that all rules allow: in a large
+    /// fleet some of them, the same ones each time that this request is placed.
     fn candidates(&self, now: Moment) -> Vec<Endpoint> {
         let endpoints = self.gateway.endpoints.lock().ready_endpoints(&self.service.name);
         let entries = self.gateway.in_flight.lock().entry_count();
@@ -99,7 +107,15 @@
         let cx = SendContext { now, entries, allowed_regions };
         let is_usable =
             |e: &&Endpoint| !self.tried.contains(&e.id) && self.gateway.is_eligible(&cx, e);
-        endpoints.iter().filter(is_usable).cloned().collect()
+        let hash = xxh3_64(self.caller.id.as_bytes());
+        let usable: Vec<Endpoint> =
+            draw_candidates(&endpoints, hash).filter(is_usable).cloned().collect();
+        let is_enough = usable.len() as f64 >= MAX_CANDIDATES as f64 * MIN_USABLE_SHARE;
+        if is_enough || endpoints.len() <= MAX_CANDIDATES {
+            return usable;
+        }
+        let usable: Vec<&Endpoint> = endpoints.iter().filter(is_usable).collect();
+        draw_candidates(&usable, hash).map(|e| (*e).clone()).collect()
     }
 
     /// Selects an endpoint that can take over a stream, if the route and the retry budget allow
@@ -161,12 +177,10 @@
     /// Selects the endpoint with the lowest cost: in-flight requests per slot, scaled by its
     /// slowness, plus its failure rate.
     fn choose_least_loaded(&self, now: Moment, candidates: Vec<Endpoint>) -> Choice {
-        let mut load = vec![0.0f64; candidates.len()];
-        for f in self.gateway.in_flight.lock().all() {
-            if let Some(index) = candidates.iter().position(|e| e.id == f.endpoint) {
-                load[index] += 1.0;
-            }
-        }
+        let load: Vec<f64> = {
+            let in_flight = self.gateway.in_flight.lock();
+            candidates.iter().map(|e| in_flight.count_at(&e.id) as f64).collect()
+        };
         let mut rng = rand::rng();
         let cost = |index: usize| {
             let e = &candidates[index];
@@ -213,17 +227,10 @@
             is_retry: self.is_retry(),
             remaining_ms: self.remaining().as_secs_f64() * 1000.0,
         };
-        let engines = self.engine_states(now, &candidates);
-        let backlog = mean_backlog_ms(&engines);
-        req.smoothed_backlog_ms = self.gateway.smoothed_backlog.lock().record(now, backlog);
-        match placement::decide(&self.gateway.cfg.policy, model, &engines, &req) {
-            Decision::Send(plan) => {
-                self.log_placed(&engines, &req, &plan);
-                self.reserve_and_place(now, &candidates, &engines, &req, plan).await
-            }
+        match self.decide(now, model, &candidates, &mut req) {
+            Decision::Send(plan) => self.reserve_and_place(now, &candidates, &req, plan).await,
             Decision::Wait(ms) => Choice::Wait(Duration::from_secs_f64(ms / 1000.0)),
             Decision::Refuse { retry_after_ms, cause } => {
-                self.log_refused(&engines, &req, retry_after_ms);
                 let after =
                     Duration::from_secs_f64(retry_after_ms.max(MIN_RETRY_AFTER_MS) / 1000.0);
                 Choice::Refused(after, cause.text())
@@ -240,10 +247,10 @@
     }
 
     /// Logs the chosen engine and the state that the choice was based on.
-    fn log_placed(&self, engines: &[EngineState], req: &PlacementRequest, plan: &Plan) {
-        let engine = &engines[plan.primary];
+    fn log_placed(&self, engines: &impl EngineSource, req: &PlacementRequest, plan: &Plan) {
+        let engine = engines.state(plan.primary);
         let helpers: Vec<&str> =
-            plan.helpers.iter().map(|h| engines[h.index].id.as_str()).collect();
+            plan.helpers.iter().map(|h| engines.id(h.index).as_str()).collect();
         event!(self.gateway.log, RequestPlaced, "request" => self.caller.id.as_str(),
             "endpoint" => engine.id.as_str(), "prompt" => req.prompt_tokens,
             "helpers" => helpers.join(","), "predicted_ms" => plan.first_token_ms as u64,
@@ -271,11 +278,10 @@
         &self,
         now: Moment,
         candidates: &[Endpoint],
-        engines: &[EngineState],
         req: &PlacementRequest,
         plan: Plan,
     ) -> Choice {
-        let sends = plan.sends(engines, req, now);
+        let sends = plan.sends_to(|index| &candidates[index].id, req, now);
         let in_flight = self.gateway.track_sends(sends);
         let parts = plan.helpers.iter().filter(|h| h.held_tokens > 0);
         let parts: Vec<(Endpoint, u64)> =
@@ -303,20 +309,42 @@
         }))
     }
 
-    fn engine_states(&self, now: Moment, candidates: &[Endpoint]) -> Vec<EngineState> {
-        let model = self.service.engine.clone().unwrap_or_default();
-        let in_flight = self.gateway.in_flight.lock();
-        let ids = candidates.iter().map(|e| &e.id);
-        let sends = in_flight.all().chain(in_flight.ended_prefills());
-        let mut states = build_states(&model, now, ids, sends);
+    /// Decides where to place the request and logs what the decision was based on.
+    fn decide(
+        &self,
+        now: Moment,
+        model: &EngineModel,
+        candidates: &[Endpoint],
+        req: &mut PlacementRequest,
+    ) -> Decision {
+        let (gateway, policy) = (&self.gateway, &self.gateway.cfg.policy);
+        let in_flight = gateway.in_flight.lock();
         let (same_zone_ms, cross_zone_ms) = ROUND_TRIPS_MS;
-        for (state, e) in states.iter_mut().zip(candidates) {
-            if self.gateway.cfg.policy.health_estimates {
-                (state.failure_rate, state.slowness) = self.gateway.estimate(now, &e.id);
+        let complete = |index: usize, state: &mut EngineState| {
+            let e: &Endpoint = &candidates[index];
+            if policy.health_estimates {
+                (state.failure_rate, state.slowness) = gateway.estimate(now, &e.id);
+            }
+            let is_same_zone = e.zone == gateway.cfg.zone;
+            state.round_trip_ms = if is_same_zone { same_zone_ms } else { cross_zone_ms };
+        };
+        let ids = candidates.iter().map(|e| &e.id);
+        let engines = KnownEngines::new(model, now, ids, &in_flight, complete);
+        let mut smoothed_backlog = gateway.smoothed_backlog.lock();
+        req.smoothed_backlog_ms = if is_worth_splitting(model, req.prompt_tokens) {
+            smoothed_backlog.record(now, mean_backlog_ms(engines.all()))
+        } else {
+            smoothed_backlog.record_due(now, || mean_backlog_ms(engines.all()))
+        };
+        drop(smoothed_backlog);
+        let decision = placement::decide_among(policy, model, &engines, req);
+        match &decision {
+            Decision::Send(plan) => self.log_placed(&engines, req, plan),
+            Decision::Refuse { retry_after_ms, .. } => {
+                self.log_refused(engines.all(), req, *retry_after_ms);
             }
-            state.round_trip_ms =
-                if e.zone == self.gateway.cfg.zone { same_zone_ms } else { cross_zone_ms };
+            Decision::Wait(_) | Decision::TooLarge => {}
         }
-        states
+        decision
     }
 }
--- a/src/gateway/load/in_flight.rs
+++ b/src/gateway/load/in_flight.rs
@@ -1,13 +1,15 @@
 //! Table of the sends in flight: those of this entry and those that other entries report.
 
-use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use slotmap::{SlotMap, new_key_type};
 use smol_str::SmolStr;
 
 use super::ended_prefills::EndedPrefills;
 use super::flight_codec::{SendNumber, decode_flight, encode_flights};
+pub use super::send_table::SendKey;
+use super::send_table::SendTable;
 use crate::directory::EndpointId;
 use crate::ids::Moment;
 use crate::wire;
@@ -15,11 +17,6 @@
 /// Age after which the load reported by another entry is dropped.
 const REMOTE_LOAD_TTL: Duration = Duration::from_millis(2000);
 
-new_key_type! {
-    /// Key of a send made by this entry.
-    pub struct SendKey;
-}
-
 /// A request in flight at one endpoint, or the part of its prompt that a helper prefills.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct InFlightSend {
@@ -64,24 +61,14 @@
     }
 }
 
-struct LocalSend {
-    number: SendNumber,
-    send: InFlightSend,
-}
-
-impl LocalSend {
-    fn numbered(&self) -> (SendNumber, &InFlightSend) {
-        (self.number, &self.send)
-    }
-}
-
+#[derive(Default)]
 struct RemoteLoad {
-    incarnation: u64,
-    seq: u64,
+    /// Incarnation of the other entry and number of its newest report; `None` before the first.
+    position: Option<(u64, u64)>,
     received_at: Moment,
     /// False while reports are missing, until the other entry has sent all its sends again.
     is_complete: bool,
-    sends: HashMap<SendNumber, InFlightSend>,
+    sends: HashMap<SendNumber, SendKey>,
 }
 
 /// What became of a report of another entry.
@@ -107,7 +94,9 @@
 /// All sends in flight that this entry knows of.
 #[derive(Default)]
 pub struct InFlightSends {
-    local: SlotMap<SendKey, LocalSend>,
+    table: SendTable,
+    /// Sends of this entry.
+    local: BTreeMap<SendNumber, SendKey>,
     last_number: SendNumber,
     /// Sends of this entry that were added or changed since the last report.
     changed: Vec<SendKey>,
@@ -121,14 +110,16 @@
     /// Adds a send of this entry.
     pub fn insert(&mut self, send: InFlightSend) -> SendKey {
         self.last_number = self.last_number.wrapping_add(1).max(1);
-        let key = self.local.insert(LocalSend { number: self.last_number, send });
+        let key = self.table.insert(self.last_number, send);
+        self.local.insert(self.last_number, key);
         self.changed.push(key);
         key
     }
 
     /// Removes a send of this entry.
     pub fn remove(&mut self, now: Moment, key: SendKey) -> Option<InFlightSend> {
-        let LocalSend { number, send } = self.local.remove(key)?;
+        let (number, send) = self.table.remove(key)?;
+        self.local.remove(&number);
         self.ended.push(number);
         self.ended_prefills.record(now, &send);
         Some(send)
@@ -137,7 +128,7 @@
     /// Adds tokens to the output of a send of this entry; true if they are the first ones, which
     /// end its prefill.
     pub fn add_output(&mut self, now: Moment, key: SendKey, tokens: u64) -> bool {
-        let Some(LocalSend { send, .. }) = self.local.get_mut(key) else { return false };
+        let Some(send) = self.table.get_mut(key) else { return false };
         let is_first = send.written_tokens == 0;
         if is_first {
             self.ended_prefills.record(now, send);
@@ -150,7 +141,7 @@
     /// Records that the prefill of a shared prompt has ended at a helper. What remains of its send is
     /// the KV cache that the helper holds until the stream ends.
     pub fn end_helper_prefill(&mut self, now: Moment, key: SendKey) {
-        let Some(LocalSend { send, .. }) = self.local.get_mut(key) else { return };
+        let Some(send) = self.table.get_mut(key) else { return };
         if send.held_tokens == 0 {
             self.remove(now, key);
             return;
@@ -160,10 +151,10 @@
         self.changed.push(key);
     }
 
-    /// Returns a send of this entry for an update. Other entries learn of the update only after
-    /// [`Self::mark_changed`].
+    /// Returns a send of this entry for an update, which must not change its endpoint. Other entries
+    /// learn of the update only after [`Self::mark_changed`].
     pub fn get_mut(&mut self, key: SendKey) -> Option<&mut InFlightSend> {
-        self.local.get_mut(key).map(|local| &mut local.send)
+        self.table.get_mut(key)
     }
 
     /// Includes a send of this entry in the next report.
@@ -178,7 +169,8 @@
 
     /// Encodes all sends of this entry for other entries.
     pub fn encode_local(&self, now: Moment) -> Vec<wire::Flight> {
-        encode_flights(self.local.values().map(LocalSend::numbered).collect(), now)
+        let sends = self.local.values().filter_map(|key| self.table.get(*key));
+        encode_flights(sends.collect(), now)
     }
 
     /// Takes the changes since the last call, encoded for other entries.
@@ -186,73 +178,51 @@
         let mut changed = std::mem::take(&mut self.changed);
         changed.sort_unstable();
         changed.dedup();
-        let existing = changed.iter().filter_map(|key| self.local.get(*key));
-        let flights = encode_flights(existing.map(LocalSend::numbered).collect(), now);
+        let existing = changed.iter().filter_map(|key| self.table.get(*key));
+        let flights = encode_flights(existing.collect(), now);
         LoadChanges { flights, ended: std::mem::take(&mut self.ended) }
     }
 
     /// Applies a report of another entry: all its sends, or those that changed.
+    ///
+    /// The cost is that of what the report lists, however many sends and entries are known.
     pub fn apply_report(&mut self, now: Moment, load: wire::SharedLoad) -> ReportOutcome {
-        let previous = self.remote.get(load.node.as_str());
+        let Self { table, remote, ended_prefills, .. } = self;
+        let remote = remote.entry(SmolStr::new(&load.node)).or_default();
         let position = (load.incarnation, load.seq);
-        if previous.is_some_and(|r| position <= (r.incarnation, r.seq)) {
+        if remote.position.is_some_and(|known| position <= known) {
             return ReportOutcome::Outdated;
         }
-        let follows =
-            previous.is_some_and(|r| r.is_complete && position == (r.incarnation, r.seq + 1));
-        let is_complete = !load.partial || follows;
-        let same_run = previous.is_some_and(|r| r.incarnation == load.incarnation);
-        let known = self.remote.remove(load.node.as_str()).map(|r| r.sends).unwrap_or_default();
-        let (mut sends, replaced) = match load.partial && same_run {
-            true => (known, HashMap::new()),
-            false => (HashMap::new(), known),
-        };
-        self.apply_changes(now, &load, &mut sends);
-        for (number, before) in &replaced {
-            let is_in_prefill = |send: &InFlightSend| same_run && !send.has_ended_prefill();
-            if !sends.get(number).is_some_and(is_in_prefill) {
-                self.ended_prefills.record(now, before);
-            }
+        let same_run = remote.position.is_some_and(|(known, _)| known == load.incarnation);
+        let follows = remote.is_complete
+            && remote.position.is_some_and(|(known, seq)| position == (known, seq + 1));
+        let mut changes = RemoteChanges { now, table, sends: &mut remote.sends, ended_prefills };
+        if !same_run {
+            changes.retain(|_| false);
         }
-        let remote = RemoteLoad {
-            incarnation: load.incarnation,
-            seq: load.seq,
-            received_at: now,
-            is_complete,
-            sends,
-        };
-        self.remote.insert(SmolStr::new(&load.node), remote);
-        if is_complete { ReportOutcome::Applied } else { ReportOutcome::Incomplete }
-    }
-
-    /// Applies the ends and flights of a report to the known sends of its entry.
-    fn apply_changes(
-        &mut self,
-        now: Moment,
-        load: &wire::SharedLoad,
-        sends: &mut HashMap<SendNumber, InFlightSend>,
-    ) {
-        for send in load.ended.iter().filter_map(|number| sends.remove(number)) {
-            self.ended_prefills.record(now, &send);
+        for number in &load.ended {
+            changes.remove(*number);
         }
-        for (index, flight) in load.flights.iter().enumerate() {
-            // Earlier versions send all their sends each time and don't number them.
-            let number = match flight.number {
-                0 => SendNumber::MAX - index as SendNumber,
-                number => number,
-            };
-            for (number, send) in decode_flight(flight, number, now) {
-                let has_ended = send.has_ended_prefill();
-                if let Some(before) = sends.insert(number, send).filter(|_| has_ended) {
-                    self.ended_prefills.record(now, &before);
-                }
-            }
+        let listed = changes.apply_flights(&load.flights);
+        if !load.partial {
+            changes.retain(|number| listed.contains(&number));
         }
+        remote.position = Some(position);
+        remote.received_at = now;
+        remote.is_complete = !load.partial || follows;
+        if remote.is_complete { ReportOutcome::Applied } else { ReportOutcome::Incomplete }
     }
 
     /// Drops the load of entries that have not reported recently.
     pub fn expire(&mut self, now: Moment) {
-        self.remote.retain(|_, r| now.saturating_sub(r.received_at) < REMOTE_LOAD_TTL);
+        let Self { table, remote, .. } = self;
+        remote.retain(|_, r| {
+            let is_recent = now.saturating_sub(r.received_at) < REMOTE_LOAD_TTL;
+            if !is_recent {
+                r.sends.values().for_each(|key| drop(table.remove(*key)));
+            }
+            is_recent
+        });
         self.ended_prefills.expire(now);
     }
 
@@ -269,7 +239,74 @@
 
     /// All sends in flight, local and remote.
     pub fn all(&self) -> impl Iterator<Item = &InFlightSend> {
-        let remote_sends = self.remote.values().flat_map(|r| r.sends.values());
-        self.local.values().map(|local| &local.send).chain(remote_sends)
+        self.table.iter()
+    }
+
+    /// The sends in flight at one endpoint, local and remote.
+    pub fn sends_at(&self, endpoint: &str) -> impl Iterator<Item = &InFlightSend> {
+        self.table.sends_at(endpoint)
+    }
+
+    /// The prefills that ended at one endpoint in the last seconds.
+    pub fn ended_prefills_at(&self, endpoint: &str) -> impl Iterator<Item = &InFlightSend> {
+        self.ended_prefills.at(endpoint)
+    }
+
+    /// Number of sends in flight at one endpoint, local and remote.
+    pub fn count_at(&self, endpoint: &str) -> usize {
+        self.table.count_at(endpoint)
+    }
+}
+
+/// Changes of the sends of another entry while a report of it is applied.
+struct RemoteChanges<'a> {
+    now: Moment,
+    table: &'a mut SendTable,
+    sends: &'a mut HashMap<SendNumber, SendKey>,
+    ended_prefills: &'a mut EndedPrefills,
+}
+
+impl RemoteChanges<'_> {
+    /// Adds or replaces the sends of these flights and returns their numbers.
+    fn apply_flights(&mut self, flights: &[wire::Flight]) -> HashSet<SendNumber> {
+        let mut listed = HashSet::with_capacity(flights.len());
+        for (index, flight) in flights.iter().enumerate() {
+            // Earlier versions send all their sends each time and don't number them.
+            let number = match flight.number {
+                0 => SendNumber::MAX - index as SendNumber,
+                number => number,
+            };
+            for (number, send) in decode_flight(flight, number, self.now) {
+                listed.insert(number);
+                let has_ended = send.has_ended_prefill();
+                match self.sends.entry(number) {
+                    Entry::Vacant(vacant) => {
+                        vacant.insert(self.table.insert(number, send));
+                    }
+                    Entry::Occupied(held) => {
+                        let before = self.table.replace(*held.get(), send);
+                        if let Some(before) = before.filter(|_| has_ended) {
+                            self.ended_prefills.record(self.now, &before);
+                        }
+                    }
+                }
+            }
+        }
+        listed
+    }
+
+    fn remove(&mut self, number: SendNumber) {
+        let removed = self.sends.remove(&number).and_then(|key| self.table.remove(key));
+        if let Some((_, send)) = removed {
+            self.ended_prefills.record(self.now, &send);
+        }
+    }
+
+    fn retain(&mut self, is_kept: impl Fn(SendNumber) -> bool) {
+        let dropped: Vec<SendNumber> =
+            self.sends.keys().copied().filter(|number| !is_kept(*number)).collect();
+        for number in dropped {
+            self.remove(number);
+        }
     }
 }
--- a/src/gateway/load/mod.rs
+++ b/src/gateway/load/mod.rs
@@ -9,3 +9,4 @@
 pub mod load_exchange;
 pub mod moving_average;
 pub mod replay;
+pub mod send_table;
--- a/src/gateway/placement/decision.rs
+++ b/src/gateway/placement/decision.rs
@@ -9,10 +9,12 @@
 use super::admission::{Admission, admit_late_short, admit_long};
 use super::engine_model::EngineModel;
 use super::engine_sample::sample_engines;
+use super::engine_source::EngineSource;
 use super::engine_state::{EngineState, MIN_SHORT_ENGINES, SAFE_PREFILL_MS, StreamState};
 use super::plan_search::{MAX_REMAINING_TIME_FRACTION, PlanSearch, is_worth_splitting};
 use super::policy::Policy;
 use super::value::value;
+use crate::directory::EndpointId;
 use crate::gateway::load::in_flight::InFlightSend;
 use crate::ids::Moment;
 
@@ -101,11 +103,21 @@
         engines: &[EngineState],
         req: &PlacementRequest,
         now: Moment,
+    ) -> Vec<InFlightSend> {
+        self.sends_to(|index| &engines[index].id, req, now)
+    }
+
+    /// In-flight sends that the plan adds, where `id` names the engine at an index.
+    pub fn sends_to<'a>(
+        &self,
+        id: impl Fn(usize) -> &'a EndpointId,
+        req: &PlacementRequest,
+        now: Moment,
     ) -> Vec<InFlightSend> {
         let at_helpers: u64 = self.helpers.iter().map(|h| h.held_tokens).sum();
         let width = self.helpers.len() as u64 + 1;
         let send = |index: usize, is_helper: bool, held_tokens: u64| InFlightSend {
-            endpoint: engines[index].id.clone(),
+            endpoint: id(index).clone(),
             request_hash: req.request_hash,
             shared: width > 1,
             objective_ms: req.objective_ms,
@@ -195,8 +207,23 @@
     engines: &[EngineState],
     req: &PlacementRequest,
 ) -> Decision {
-    let short_engines =
-        if policy.short_engines { short_engine_count(model, engines) } else { engines.len() };
+    decide_among(policy, model, engines, req)
+}
+
+/// Decides where to place one request, as [`decide`] does, and derives only the states of the
+/// engines that it looks at.
+pub fn decide_among(
+    policy: &Policy,
+    model: &EngineModel,
+    engines: &(impl EngineSource + ?Sized),
+    req: &PlacementRequest,
+) -> Decision {
+    let count = engines.count();
+    let short_engines = if policy.short_engines {
+        short_engines_for(model, engines.short_streams(), count)
+    } else {
+        count
+    };
     let is_short = model.prefill_ms(req.prompt_tokens) <= SAFE_PREFILL_MS * short_engines as f64;
     let Some(plan) = choose_plan(policy, model, engines, req, short_engines, is_short) else {
         return Decision::TooLarge;
@@ -210,6 +237,7 @@
     let admission = match (is_short, late) {
         (true, false) => Admission::Place,
         (true, true) => {
+            let engines = engines.all();
             let Some(primary) = emptiest_engine(policy, model, engines, req) else {
                 return Decision::TooLarge;
             };
@@ -219,7 +247,7 @@
             }
             admission
         }
-        (false, _) => admit_long(policy, model, engines, req, &plan),
+        (false, _) => admit_long(policy, model, engines.all(), req, &plan),
     };
     match admission {
         Admission::Place => Decision::Send(plan),
@@ -234,26 +262,31 @@
 fn choose_plan(
     policy: &Policy,
     model: &EngineModel,
-    engines: &[EngineState],
+    engines: &(impl EngineSource + ?Sized),
     req: &PlacementRequest,
     short_engines: usize,
     is_short: bool,
 ) -> Option<Plan> {
-    let search = PlanSearch { policy, model, engines, req };
     let is_safe = |plan: &Plan| plan.first_token_ms <= req.objective_ms * SAFE_OBJECTIVE_SHARE;
     if policy.engine_samples && is_short && !is_worth_splitting(model, req.prompt_tokens) {
         let best_of_sample = |count: usize| {
             let sample = sample_engines(engines, count, req.request_hash);
-            search.best_plan(&sample).map(|(_, plan)| plan)
+            let states: Vec<EngineState> = sample.iter().map(|i| engines.state(*i)).collect();
+            let search = PlanSearch { policy, model, engines: &states, req };
+            let (_, plan) = search.best_plan(&(0..states.len()).collect::<Vec<usize>>())?;
+            let helpers = plan.helpers.iter().map(|h| Helper { index: sample[h.index], ..*h });
+            Some(Plan { primary: sample[plan.primary], helpers: helpers.collect(), ..plan })
         };
         if let Some(plan) = best_of_sample(short_engines).filter(is_safe) {
             return Some(plan);
         }
         let is_in_time = |plan: &Plan| plan.first_token_ms <= req.objective_ms;
-        if let Some(plan) = best_of_sample(engines.len()).filter(is_in_time) {
+        if let Some(plan) = best_of_sample(engines.count()).filter(is_in_time) {
             return Some(plan);
         }
     }
+    let engines = engines.all();
+    let search = PlanSearch { policy, model, engines, req };
     let preferred = if is_short { 0..short_engines } else { short_engines..engines.len() };
     let best = search.best_plan(&preferred.collect::<Vec<usize>>());
     if let Some((_, plan)) = &best
@@ -292,9 +325,12 @@
 /// The number follows the short streams in flight, so it adapts within a second or two. All
 /// entries arrive at the same number, because they see the same in-flight sends.
 pub fn short_engine_count(model: &EngineModel, engines: &[EngineState]) -> usize {
-    let streams: usize = engines.iter().map(|e| e.short_streams).sum();
+    short_engines_for(model, engines.short_streams(), engines.len())
+}
+
+fn short_engines_for(model: &EngineModel, short_streams: usize, engines: usize) -> usize {
     let per_engine = f64::from(model.slots) * SHORT_OCCUPANCY_SHARE;
-    let wanted = (streams as f64 / per_engine).ceil() as usize + 1;
-    let limit = engines.len().saturating_sub(1).max(1);
-    wanted.max(MIN_SHORT_ENGINES.min(engines.len() / 3)).clamp(1, limit)
+    let wanted = (short_streams as f64 / per_engine).ceil() as usize + 1;
+    let limit = engines.saturating_sub(1).max(1);
+    wanted.max(MIN_SHORT_ENGINES.min(engines / 3)).clamp(1, limit)
 }
--- a/src/gateway/placement/engine_sample.rs
+++ b/src/gateway/placement/engine_sample.rs
@@ -10,7 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::engine_state::EngineState;
+use super::engine_source::EngineSource;
 
 /// Number of engines for each one in a sample.
 const ENGINES_PER_SAMPLED: usize = 4;
@@ -28,15 +28,19 @@
 ///
 /// let engine = |n: usize| EngineState { id: format!("e{n}").into(), ..EngineState::default() };
 /// let engines: Vec<EngineState> = (0..40).map(engine).collect();
-/// let sample = sample_engines(&engines, 20, 7);
+/// let sample = sample_engines(&engines[..], 20, 7);
 /// assert_eq!(sample.len(), 5);
 /// assert!(sample.iter().all(|index| *index < 20));
-/// assert_ne!(sample, sample_engines(&engines, 20, 8));
-/// assert_eq!(sample_engines(&engines, 40, 7).len(), 8, "however large the fleet is");
+/// assert_ne!(sample, sample_engines(&engines[..], 20, 8));
+/// assert_eq!(sample_engines(&engines[..], 40, 7).len(), 8, "however large the fleet is");
 /// ```
-pub fn sample_engines(engines: &[EngineState], count: usize, request_hash: u64) -> Vec<usize> {
-    let rank = |index: &usize| xxh3_64_with_seed(engines[*index].id.as_bytes(), request_hash);
-    let mut indices: Vec<usize> = (0..count.min(engines.len())).collect();
+pub fn sample_engines(
+    engines: &(impl EngineSource + ?Sized),
+    count: usize,
+    request_hash: u64,
+) -> Vec<usize> {
+    let rank = |index: &usize| xxh3_64_with_seed(engines.id(*index).as_bytes(), request_hash);
+    let mut indices: Vec<usize> = (0..count.min(engines.count())).collect();
     indices.sort_by_cached_key(rank);
     let wanted = count.div_ceil(ENGINES_PER_SAMPLED);
     indices.truncate(wanted.clamp(*SAMPLE_SIZES.start(), *SAMPLE_SIZES.end()));
--- a/src/gateway/placement/engine_state.rs
+++ b/src/gateway/placement/engine_state.rs
@@ -147,9 +147,7 @@
                 }
             }
             if !f.is_helper {
-                let is_short =
-                    model.prefill_ms(f.prompt_tokens) <= SAFE_PREFILL_MS * MIN_SHORT_ENGINES as f64;
-                state.short_streams += usize::from(is_short);
+                state.short_streams += usize::from(is_short(model, f));
                 state.urgent_count += usize::from(f.written_tokens > 0 || !f.late);
                 state.request_count += 1;
             }
@@ -337,6 +335,11 @@
     }
 }
 
+/// Whether a send counts among the short prompts for which engines are reserved.
+pub(super) fn is_short(model: &EngineModel, f: &InFlightSend) -> bool {
+    !f.is_helper && model.prefill_ms(f.prompt_tokens) <= SAFE_PREFILL_MS * MIN_SHORT_ENGINES as f64
+}
+
 /// Expected value that streams lose to a predicted pause.
 fn pause_loss(streams: &[StreamState], pause_ms: f64) -> f64 {
     let (safe_share, lost_share) = PAUSE_LOSS_RANGE;
@@ -375,7 +378,7 @@
 }
 
 /// Sets the finish time of each shared prompt to that of its slowest engine.
-fn align_shared_prefills(states: &mut [EngineState]) {
+pub(super) fn align_shared_prefills(states: &mut [EngineState]) {
     let mut finish_ms: HashMap<u64, f64> = HashMap::new();
     for r in states.iter().flat_map(|s| &s.pending).filter(|r| r.shared) {
         let held = finish_ms.entry(r.request_hash).or_default();
--- a/src/gateway/placement/mod.rs
+++ b/src/gateway/placement/mod.rs
@@ -6,11 +6,14 @@
 pub mod decision;
 pub mod engine_model;
 pub mod engine_sample;
+pub mod engine_source;
 pub mod engine_state;
+pub mod fleet_sample;
 pub mod plan_search;
 pub mod policy;
 pub mod value;
 
 pub use decision::{
-    Decision, Helper, PlacementRequest, Plan, RefusalCause, decide, short_engine_count,
+    Decision, Helper, PlacementRequest, Plan, RefusalCause, decide, decide_among,
+    short_engine_count,
 };
--- a/tests/emulator/fleet.rs
+++ b/tests/emulator/fleet.rs
@@ -10,7 +10,10 @@
 use bitternlead::gateway::load::moving_average::MovingAverage;
 use bitternlead::gateway::placement::admission::mean_backlog_ms;
 use bitternlead::gateway::placement::engine_model::EngineModel;
-use bitternlead::gateway::placement::engine_state::build_states;
+use bitternlead::gateway::placement::engine_source::{EngineSource, KnownEngines};
+use bitternlead::gateway::placement::engine_state::EngineState;
+use bitternlead::gateway::placement::fleet_sample::draw_candidates;
+use bitternlead::gateway::placement::plan_search::is_worth_splitting;
 use bitternlead::gateway::placement::policy::Policy;
 use bitternlead::gateway::placement::{Decision, PlacementRequest, Plan};
 use bitternlead::wire::SharedLoad;
@@ -264,19 +267,25 @@
             is_retry: tries > 0,
         };
         let now = self.moment();
-        let in_flight = &self.entries[entry].in_flight;
-        let known_sends = in_flight.all().chain(in_flight.ended_prefills());
-        let mut states = build_states(&self.model, now, self.ids.iter(), known_sends);
-        for state in &mut states {
-            state.round_trip_ms = 2.0 * LATENCY_MS;
-        }
-        let backlog = mean_backlog_ms(&states);
-        req.smoothed_backlog_ms = self.entries[entry].smoothed_backlog.record(now, backlog);
+        let Entry { in_flight, smoothed_backlog, .. } = &mut self.entries[entry];
+        let indices: Vec<usize> = (0..self.ids.len()).collect();
+        let drawn: Vec<usize> = draw_candidates(&indices, req.request_hash).copied().collect();
+        let ids = drawn.iter().map(|at| &self.ids[*at]);
+        let complete = |_, state: &mut EngineState| state.round_trip_ms = 2.0 * LATENCY_MS;
+        let engines = KnownEngines::new(&self.model, now, ids, in_flight, complete);
+        let backlog = || mean_backlog_ms(engines.all());
+        req.smoothed_backlog_ms = if is_worth_splitting(&self.model, req.prompt_tokens) {
+            smoothed_backlog.record(now, backlog())
+        } else {
+            smoothed_backlog.record_due(now, backlog)
+        };
         let decided =
-            self.router.decide(&self.policy, &self.model, &states, &req, request, &mut self.rng);
+            self.router.decide(&self.policy, &self.model, &engines, &req, request, &mut self.rng);
         match decided {
-            Decision::Send(plan) => {
-                let sends_made = plan.sends(&states, &req, now);
+            Decision::Send(mut plan) => {
+                plan.primary = drawn[plan.primary];
+                plan.helpers.iter_mut().for_each(|h| h.index = drawn[h.index]);
+                let sends_made = plan.sends_to(|index| &self.ids[index], &req, now);
                 self.send(request, entry, plan, sends_made);
             }
             Decision::Wait(ms) => {
--- a/tests/emulator/router.rs
+++ b/tests/emulator/router.rs
@@ -1,9 +1,9 @@
 //! Routing policies: the gateway's placement code and simple policies to compare it with.
 
 use bitternlead::gateway::placement::engine_model::EngineModel;
-use bitternlead::gateway::placement::engine_state::EngineState;
+use bitternlead::gateway::placement::engine_source::EngineSource;
 use bitternlead::gateway::placement::policy::Policy;
-use bitternlead::gateway::placement::{Decision, PlacementRequest, Plan, decide};
+use bitternlead::gateway::placement::{Decision, PlacementRequest, Plan, decide_among};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -36,20 +36,21 @@
         self,
         policy: &Policy,
         model: &EngineModel,
-        engines: &[EngineState],
+        engines: &impl EngineSource,
         req: &PlacementRequest,
         turn: usize,
         rng: &mut ChaCha8Rng,
     ) -> Decision {
-        let count = engines.len();
+        let count = engines.count();
         let primary = match self {
-            Self::Gateway => return decide(policy, model, engines, req),
+            Self::Gateway => return decide_among(policy, model, engines, req),
             Self::RoundRobin => turn % count,
             Self::LeastRequests => {
-                (0..count).min_by_key(|at| engines[*at].request_count).unwrap_or_default()
+                (0..count).min_by_key(|at| engines.all()[*at].request_count).unwrap_or_default()
             }
             Self::RandomTwo => {
                 let (a, b) = (rng.random_range(0..count), rng.random_range(0..count));
+                let engines = engines.all();
                 if engines[a].request_count <= engines[b].request_count { a } else { b }
             }
         };
--- a/tests/heavy_days.rs
+++ b/tests/heavy_days.rs
@@ -115,3 +115,17 @@
     let (own, without) = (runs_of(&fleet), runs_without("engine-samples", &fleet));
     assert!(mean(&own, |f| f.in_time[0]) > mean(&without, |f| f.in_time[0]));
 }
+
+/// Guards the draw of candidates in fleets that are larger than it: a request that looks at some
+/// engines of three times the fleet must be served as on the fleet, whose engines it sees all.
+#[test]
+fn requests_that_see_a_part_of_a_larger_fleet_are_served_as_well() {
+    let fleet = shortened(large(), 0.04);
+    let larger = scaled(fleet.clone(), 3.0);
+    let (whole, drawn) = (runs_of(&fleet), runs_of(&larger));
+    for (kind, name) in ["short", "medium", "long"].into_iter().enumerate() {
+        let of = |runs: &[Summary]| mean(runs, |f| f.in_time[kind]);
+        let (all, part) = (of(&whole), of(&drawn));
+        assert!(part >= all - 0.05, "{name}: {part:.3} with a draw, {all:.3} with all engines");
+    }
+}
--- a/tests/load_exchange.rs
+++ b/tests/load_exchange.rs
@@ -13,6 +13,8 @@
 use bitternlead::wire::SharedLoad;
 use proptest::prelude::*;
 use prost::Message;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -337,3 +339,53 @@
     assert_eq!((own.all().count(), other.all().count()), (0, 0));
     assert_eq!(other.ended_prefills().count(), 3, "the end of the stream ends no prefill");
 }
+
+/// Guards the index by endpoint: after reports that list all sends or changes, lost ones, restarts
+/// and expiry it must name the sends that are known, no others.
+#[test]
+fn the_sends_at_an_endpoint_follow_reports_restarts_and_expiry() {
+    let mut rng = ChaCha8Rng::seed_from_u64(31);
+    let endpoints: Vec<String> = (0..5).map(|n| format!("e{n}")).collect();
+    let mut known = InFlightSends::default();
+    let mut entries: Vec<(InFlightSends, Vec<SendKey>)> = Vec::new();
+    entries.resize_with(3, Default::default);
+    let mut most_known = 0;
+    for seq in 1..600u64 {
+        let entry = rng.random_range(0..entries.len());
+        let incarnation = seq / 200;
+        let (own, keys) = &mut entries[entry];
+        if rng.random_bool(0.01) {
+            (*own, *keys) = Default::default();
+        }
+        for _ in 0..rng.random_range(0..4) {
+            let endpoint = endpoints[rng.random_range(0..5)].as_str().into();
+            keys.push(own.insert(InFlightSend { endpoint, ..send(seq) }));
+        }
+        if !keys.is_empty() && rng.random_bool(0.6) {
+            own.remove(ms(seq), keys.swap_remove(0));
+        }
+        let LoadChanges { flights, ended } = own.take_changes(ms(seq));
+        let partial = rng.random_bool(0.7);
+        let flights = if partial { flights } else { own.encode_local(ms(seq)) };
+        let node = format!("entry-{entry}");
+        let load = SharedLoad { node, incarnation, seq, partial, flights, ended, ..template() };
+        if rng.random_bool(0.9) {
+            known.apply_report(ms(seq), load);
+        }
+        if rng.random_bool(0.02) {
+            known.expire(ms(seq + 1_950));
+        }
+        for endpoint in &endpoints {
+            let at: Vec<&InFlightSend> = known.sends_at(endpoint).collect();
+            assert!(at.iter().all(|f| f.endpoint == *endpoint));
+            assert_eq!(at.len(), known.all().filter(|f| f.endpoint == *endpoint).count());
+            assert_eq!(at.len(), known.count_at(endpoint));
+            let ended = known.ended_prefills().filter(|f| f.endpoint == *endpoint);
+            assert!(known.ended_prefills_at(endpoint).eq(ended));
+        }
+        most_known = most_known.max(known.all().count());
+    }
+    assert!(most_known > 20, "{most_known}");
+    known.expire(ms(9_000));
+    assert_eq!((known.all().count(), known.count_at("e0")), (0, 0));
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
-use bitternlead::gateway::load::in_flight::InFlightSend;
+use bitternlead::directory::EndpointId;
+use bitternlead::gateway::load::in_flight::{InFlightSend, InFlightSends};
 use bitternlead::gateway::load::replay::replay;
 use bitternlead::gateway::placement::engine_model::EngineModel;
-use bitternlead::gateway::placement::engine_state::EngineState;
+use bitternlead::gateway::placement::engine_source::{EngineSource, KnownEngines};
+use bitternlead::gateway::placement::engine_state::{EngineState, build_states};
 use bitternlead::gateway::placement::policy::Policy;
 use bitternlead::gateway::placement::{
-    Decision, PlacementRequest, Plan, RefusalCause, decide, short_engine_count,
+    Decision, PlacementRequest, Plan, RefusalCause, decide, decide_among, short_engine_count,
 };
+use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -325,3 +328,54 @@
     let added_ms = first_token(engine) - first_token(alone);
     assert!(added_ms >= model.stride_ms(1, SHORT.0), "{added_ms}");
 }
+
+/// A send of a random kind, age and progress at one of `engines` engines.
+fn any_send(engines: usize) -> impl Strategy<Value = InFlightSend> {
+    let kind =
+        prop_oneof![3 => Just(SHORT), 1 => Just((45_000, 1_000, 1500.0, 400.0)), 1 => Just(LONG)];
+    let progress = prop_oneof![Just(0u64), Just(46u64), Just(460u64)];
+    (0..engines, kind, 0u64..1_000, progress, 0u64..6, any::<bool>()).prop_map(
+        |(endpoint, kind, sent_ms, written_tokens, hash, is_part)| {
+            let is_shared = is_part && kind == LONG;
+            InFlightSend {
+                request_hash: hash,
+                shared: is_shared,
+                is_helper: is_shared && hash % 2 == 0,
+                ..send(endpoint, kind, sent_ms, written_tokens)
+            }
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(41),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards the shortcut of decisions that derive only the states they look at: they must decide
+    /// as if all sends of the fleet were grouped by engine and all states were known.
+    #[test]
+    fn decisions_on_derived_states_are_those_on_all_states(
+        sends in prop::collection::vec(any_send(24), 0..160),
+        kind in prop_oneof![Just(SHORT), Just((20_000, 900, 600.0, 300.0)), Just(LONG)],
+        request_hash in 0u64..1_000,
+    ) {
+        let (policy, model) = (Policy::default(), EngineModel::default());
+        let now = Duration::from_millis(1_000);
+        let mut in_flight = InFlightSends::default();
+        let keys: Vec<_> = sends.into_iter().map(|send| in_flight.insert(send)).collect();
+        for key in keys.into_iter().step_by(5) {
+            in_flight.remove(now, key);
+        }
+        let ids: Vec<EndpointId> = (0..24).map(|at| format!("e{at:02}").into()).collect();
+        let known = in_flight.all().chain(in_flight.ended_prefills());
+        let states = build_states(&model, now, ids.iter(), known);
+        let engines = KnownEngines::new(&model, now, ids.iter(), &in_flight, |_, _| {});
+        let req = PlacementRequest { request_hash, ..request(kind) };
+        let decided = decide_among(&policy, &model, &engines, &req);
+        prop_assert_eq!(engines.short_streams(), states.short_streams());
+        prop_assert_eq!(decided, decide(&policy, &model, &states, &req));
+    }
+}
