Carry the cold state of endpoints in announcements

Cause: announcements state how long an endpoint stays cold, and control dropped that. Change: Announcement.cold_ms = 9 holds the time that remains when a message is sent. The directory publishes a change of the state at once and compares countdowns with the end that it published last (250 ms of tolerance, 50 ms where only one of both is over). Full updates and relayed announcements subtract the time since they were received.

--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -139,7 +139,7 @@
 
     /// The latest announcement of every known endpoint, in no particular order.
     pub fn announcements(&self) -> Vec<Announcement> {
-        self.inner.lock().directory.announcements()
+        self.inner.lock().directory.announcements(boot_now())
     }
 
     /// Availability zones of all known endpoints.
@@ -213,7 +213,8 @@
             let standing = announcement.standing().as_str_name();
             event!(self.log, EndpointStateChanged, "endpoint" => &announcement.id,
                 "service" => &announcement.service, "address" => &announcement.address,
-                "standing" => standing, "born" => announcement.born, "seq" => announcement.seq);
+                "standing" => standing, "born" => announcement.born, "seq" => announcement.seq,
+                "cold_ms" => announcement.cold_ms);
         }
         self.endpoints_changed.notify_one();
         let inner = self.inner.lock();
@@ -239,7 +240,7 @@
             cx: conn.cx.clone(),
         };
         let initial = News {
-            announcements: inner.directory.announcements(),
+            announcements: inner.directory.announcements(boot_now()),
             full: true,
             quarantine: Some(inner.quarantine.report_all(boot_now())),
             replicas: published.replicas.clone(),
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -27,8 +27,10 @@
 use super::store::{OpenedStore, Store, StoreError};
 use super::zone_drains;
 use crate::clock::boot_now;
+use crate::directory::age_cold_time;
 use crate::event;
 use crate::http::Readiness;
+use crate::ids::Moment;
 use crate::metrics::Metrics;
 use crate::process::{self, RunError};
 use crate::raft::{Raft, RaftConfig};
@@ -387,9 +389,10 @@
     cfg: LinkConfig,
     cx: CancellationToken,
 ) {
-    let mut links: std::collections::HashMap<String, mpsc::Sender<Announcement>> =
+    let mut links: std::collections::HashMap<String, mpsc::Sender<(Moment, Announcement)>> =
         std::collections::HashMap::new();
     while let Some(announcement) = rx.recv().await {
+        let received_at = boot_now();
         let replicas = published.borrow().replicas.clone();
         links.retain(|address, _| replicas.iter().any(|r| r.address == *address));
         for replica in replicas.iter().filter(|r| r.address != own) {
@@ -400,24 +403,25 @@
                 }
                 tx
             });
-            let _ = tx.try_send(announcement.clone());
+            let _ = tx.try_send((received_at, announcement.clone()));
         }
     }
 }
 
 async fn relay_to_replica(
     addr: SocketAddr,
-    mut rx: mpsc::Receiver<Announcement>,
+    mut rx: mpsc::Receiver<(Moment, Announcement)>,
     cfg: LinkConfig,
     cx: CancellationToken,
 ) {
     let mut link: Option<Link> = None;
-    while let Some(announcement) = rx.recv().await {
+    while let Some((received_at, announcement)) = rx.recv().await {
         if link.as_ref().is_none_or(|l| l.is_closed()) {
             link = Link::connect(addr, &cfg, &cx).await.ok();
         }
         if let Some(link) = &link {
-            link.try_send(Body::Announcement(announcement));
+            let elapsed = boot_now().saturating_sub(received_at);
+            link.try_send(Body::Announcement(age_cold_time(announcement, elapsed)));
         }
     }
 }
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -14,13 +14,61 @@
 /// Identity of an endpoint, as its announcements give it.
 pub type EndpointId = SmolStr;
 
+/// Difference between the known end of an endpoint's cold time and the announced one that counts as
+/// a change. Announcements travel for different times, so a mere countdown differs a little.
+const COLD_END_TOLERANCE: Duration = Duration::from_millis(250);
+
+/// The same difference where only one of the two times is over.
+const COLD_STATE_TOLERANCE: Duration = Duration::from_millis(50);
+
 #[derive(Clone, Debug)]
 struct EndpointRecord {
+    /// Latest announcement; its cold time is the remaining one at `received_at`.
     announcement: Announcement,
+    received_at: Moment,
     /// When the endpoint counts as silent unless it announces itself before.
     silent_at: Moment,
 }
 
+impl EndpointRecord {
+    /// Time for which the endpoint stays cold.
+    fn cold_time(&self, now: Moment) -> Duration {
+        let stated = Duration::from_millis(self.announcement.cold_ms);
+        self.received_at.saturating_add(stated).saturating_sub(now)
+    }
+
+    /// The announcement with the cold time that remains at `now`.
+    fn aged_announcement(&self, now: Moment) -> Announcement {
+        let elapsed = now.saturating_sub(self.received_at);
+        age_cold_time(self.announcement.clone(), elapsed)
+    }
+
+    /// Whether an announcement that arrives at `now` changes more than the sequence number and the
+    /// countdown of the cold time.
+    fn is_changed_by(&self, now: Moment, announcement: &Announcement) -> bool {
+        let (known, stated) = (self.cold_time(now), Duration::from_millis(announcement.cold_ms));
+        let is_same_state = known.is_zero() == stated.is_zero();
+        let tolerance = if is_same_state { COLD_END_TOLERANCE } else { COLD_STATE_TOLERANCE };
+        known.abs_diff(stated) > tolerance
+            || !equal_except_countdown(&self.announcement, announcement)
+    }
+}
+
+/// Subtracts the time since an announcement was received from the cold time that it states.
+///
+/// ```
+/// use std::time::Duration;
+/// use bitternlead::directory::age_cold_time;
+/// use bitternlead::wire::Announcement;
+///
+/// let announcement = Announcement { cold_ms: 1_000, ..Announcement::default() };
+/// assert_eq!(age_cold_time(announcement, Duration::from_millis(300)).cold_ms, 700);
+/// ```
+pub fn age_cold_time(announcement: Announcement, elapsed: Duration) -> Announcement {
+    let cold_ms = announcement.cold_ms.saturating_sub(elapsed.as_millis() as u64);
+    Announcement { cold_ms, ..announcement }
+}
+
 /// The latest announcement of each endpoint.
 ///
 /// ```
@@ -58,14 +106,17 @@
     ) {
         for announcement in announcements {
             let id = EndpointId::new(&announcement.id);
-            let record = EndpointRecord { announcement, silent_at: now + confirm_within };
+            // The time since the file was written is not known, so the cold time begins again.
+            let silent_at = now + confirm_within;
+            let record = EndpointRecord { announcement, received_at: now, silent_at };
             self.endpoints.entry(id).or_insert(record);
         }
     }
 
-    /// The latest announcement of every endpoint, in no particular order.
-    pub fn announcements(&self) -> Vec<Announcement> {
-        self.endpoints.values().map(|record| record.announcement.clone()).collect()
+    /// The latest announcement of every endpoint, with the cold time that remains at `now`, in no
+    /// particular order.
+    pub fn announcements(&self, now: Moment) -> Vec<Announcement> {
+        self.endpoints.values().map(|record| record.aged_announcement(now)).collect()
     }
 
     /// Records an announcement that arrived at `now`, unless a newer one is known. Returns the
@@ -76,15 +127,20 @@
         }
         let mut changed = self.mark_address_replaced(&announcement);
         let id = EndpointId::new(&announcement.id);
-        let same = self
-            .endpoints
-            .get(&id)
-            .is_some_and(|record| equal_except_seq(&record.announcement, &announcement));
-        if !same {
-            changed.push(announcement.clone());
-        }
         let silent_at = now + self.silence_timeout;
-        self.endpoints.insert(id, EndpointRecord { announcement, silent_at });
+        match self.endpoints.get_mut(&id) {
+            // The cold time stays the one that was published, so that small differences don't add
+            // up without being noticed.
+            Some(record) if !record.is_changed_by(now, &announcement) => {
+                record.announcement.seq = announcement.seq;
+                record.silent_at = silent_at;
+            }
+            _ => {
+                changed.push(announcement.clone());
+                let record = EndpointRecord { announcement, received_at: now, silent_at };
+                self.endpoints.insert(id, record);
+            }
+        }
         (!changed.is_empty()).then_some(changed)
     }
 
@@ -97,6 +153,7 @@
             return None;
         }
         record.announcement.set_standing(Standing::Gone);
+        record.announcement.cold_ms = 0;
         Some(record.announcement.clone())
     }
 
@@ -109,7 +166,7 @@
                 && matches!(record.announcement.standing(), Standing::Ready | Standing::Draining)
             {
                 record.announcement.set_standing(Standing::Silent);
-                newly_silent.push(record.announcement.clone());
+                newly_silent.push(record.aged_announcement(now));
             }
         }
         let max_silence = self.silence_timeout * 15;
@@ -144,6 +201,7 @@
             let same_address = other.address == announcement.address && other.id != announcement.id;
             if same_address && other.standing() != Standing::Gone {
                 other.set_standing(Standing::Gone);
+                other.cold_ms = 0;
                 replaced.push(other.clone());
             }
         }
@@ -151,7 +209,8 @@
     }
 }
 
-fn equal_except_seq(a: &Announcement, b: &Announcement) -> bool {
-    let without_seq = |announcement: &Announcement| Announcement { seq: 0, ..announcement.clone() };
-    without_seq(a) == without_seq(b)
+fn equal_except_countdown(a: &Announcement, b: &Announcement) -> bool {
+    let compared =
+        |announcement: &Announcement| Announcement { seq: 0, cold_ms: 0, ..announcement.clone() };
+    compared(a) == compared(b)
 }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -64,6 +64,8 @@
     /// Wall time of the endpoint's start in milliseconds since 1970.
     #[serde(rename = "born", default)]
     started_ms: u64,
+    /// Milliseconds for which the endpoint stays cold; missing or 0 if it is not cold.
+    cold_left_ms: Option<f64>,
 }
 
 /// State that an endpoint announces.
@@ -212,6 +214,7 @@
         standing: standing.into(),
         born: announcement.started_ms,
         seq: announcement.seq,
+        cold_ms: announcement.cold_left_ms.unwrap_or_default().max(0.0).ceil() as u64,
     });
     acknowledge(service)
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -888,6 +888,10 @@
     /// Sequence number of the announcement since that start.
     #[prost(uint64, tag = "8")]
     pub seq: u64,
+    /// Time for which the endpoint stays cold, in milliseconds from when the message is sent; 0 if it
+    /// is not cold.
+    #[prost(uint64, tag = "9")]
+    pub cold_ms: u64,
 }
 /// Endpoints that a control replica knows, as it stores them for its next start.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -27,6 +27,7 @@
         standing: standing.into(),
         born,
         seq,
+        cold_ms: 0,
     }
 }
 
@@ -39,7 +40,7 @@
         directory.record(ms(0), announcement("a", ADDRESS, 5, 3, Standing::Draining)).is_some()
     );
     assert!(directory.record(ms(1), announcement("a", ADDRESS, 5, 2, Standing::Ready)).is_none());
-    assert_eq!(directory.announcements()[0].standing(), Standing::Draining);
+    assert_eq!(directory.announcements(ms(0))[0].standing(), Standing::Draining);
 }
 
 #[test]
@@ -53,7 +54,7 @@
         directory.mark_gone("a", Some(5)).is_none(),
         "a relayed departure of the earlier start"
     );
-    assert_eq!(directory.announcements()[0].standing(), Standing::Ready);
+    assert_eq!(directory.announcements(ms(0))[0].standing(), Standing::Ready);
 }
 
 #[test]
@@ -76,7 +77,7 @@
     ];
     directory.restore(ms(100), known, ms(2400));
     let standing = |directory: &Directory, id: &str| {
-        directory.announcements().into_iter().find(|a| a.id == id).unwrap().standing()
+        directory.announcements(ms(0)).into_iter().find(|a| a.id == id).unwrap().standing()
     };
     assert_eq!(standing(&directory, "a"), Standing::Ready);
     assert_eq!(standing(&directory, "c"), Standing::Gone);
