Bound what all entries together send to cold endpoints

Cause: endpoints that return together receive more than they can handle and crash. Change: an eligibility rule with a share for each entry. Placement counts cold engines with the share of the load that they may take.

--- a/benches/fleet_size.rs
+++ b/benches/fleet_size.rs
@@ -122,7 +122,7 @@
                     n += 1;
                     let req = request(n, prompt_tokens);
                     let ids = draw_candidates(&ids, n);
-                    let engines = KnownEngines::new(&model, NOW, ids, &known, |_, _| {});
+                    let engines = KnownEngines::new(&model, NOW, ids, &known, |_, _| {}, |_| 1.0);
                     if prompt_tokens > 5_000 {
                         black_box(mean_backlog_ms(engines.all()));
                     }
@@ -199,6 +199,7 @@
         standing: standing.into(),
         born: 1_700_000_000_000,
         seq,
+        ..Announcement::default()
     }
 }
 
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -144,7 +144,7 @@
 
     /// Availability zones of all known endpoints.
     pub fn zones(&self) -> BTreeSet<String> {
-        let announcements = self.inner.lock().directory.announcements();
+        let announcements = self.inner.lock().directory.announcements(boot_now());
         announcements.into_iter().map(|a| a.zone).filter(|zone| !zone.is_empty()).collect()
     }
 
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -46,6 +46,10 @@
 /// Fraction of the drawn endpoints below which so few may be sent to that all endpoints are asked.
 const MIN_USABLE_SHARE: f64 = 0.25;
 
+/// Time after which a request is placed again whose endpoint lost its room to another request at the
+/// same moment.
+const NO_ROOM_RETRY: Duration = Duration::from_millis(10);
+
 /// Retry delay suggested when KV cache could not be reserved.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -197,7 +201,9 @@
         let endpoint = candidates[index].clone();
         let send =
             InFlightSend { endpoint: endpoint.id.clone(), sent_at: now, ..InFlightSend::default() };
-        let in_flight = self.gateway.track_sends(vec![send]);
+        let Some(in_flight) = self.gateway.track_sends(vec![send]) else {
+            return Choice::Wait(NO_ROOM_RETRY);
+        };
         Choice::Placed(Box::new(Placement {
             endpoint,
             helpers: Vec::new(),
@@ -282,14 +288,18 @@
         plan: Plan,
     ) -> Choice {
         let sends = plan.sends_to(|index| &candidates[index].id, req, now);
-        let in_flight = self.gateway.track_sends(sends);
+        let Some(in_flight) = self.gateway.track_sends(sends) else {
+            return Choice::Wait(NO_ROOM_RETRY);
+        };
         let parts = plan.helpers.iter().filter(|h| h.held_tokens > 0);
         let parts: Vec<(Endpoint, u64)> =
             parts.map(|h| (candidates[h.index].clone(), h.held_tokens)).collect();
         let reservation = if parts.is_empty() {
             None
         } else {
+            in_flight.mark_helpers_called();
             let reserved = Reservation::acquire(&self.gateway, &self.caller.id, parts).await;
+            in_flight.mark_helpers_called();
             let Some(reserved) = reserved else {
                 return Choice::Refused(MEMORY_RETRY_AFTER, "the engines' memory is not free");
             };
@@ -320,6 +330,7 @@
         let (gateway, policy) = (&self.gateway, &self.gateway.cfg.policy);
         let in_flight = gateway.in_flight.lock();
         let (same_zone_ms, cross_zone_ms) = ROUND_TRIPS_MS;
+        let usual_per_s = model.usual_requests_per_s();
         let complete = |index: usize, state: &mut EngineState| {
             let e: &Endpoint = &candidates[index];
             if policy.health_estimates {
@@ -327,9 +338,14 @@
             }
             let is_same_zone = e.zone == gateway.cfg.zone;
             state.round_trip_ms = if is_same_zone { same_zone_ms } else { cross_zone_ms };
+            let mut cold = gateway.cold.lock();
+            state.cold_reduction = 1.0 - cold.load_share(now, &e.id, usual_per_s);
+            state.room = cold.room(now, &e.id);
         };
         let ids = candidates.iter().map(|e| &e.id);
-        let engines = KnownEngines::new(model, now, ids, &in_flight, complete);
+        let load_share =
+            |index: usize| gateway.cold.lock().load_share(now, &candidates[index].id, usual_per_s);
+        let engines = KnownEngines::new(model, now, ids, &in_flight, complete, load_share);
         let mut smoothed_backlog = gateway.smoothed_backlog.lock();
         req.smoothed_backlog_ms = if is_worth_splitting(model, req.prompt_tokens) {
             smoothed_backlog.record(now, mean_backlog_ms(engines.all()))
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -60,6 +60,17 @@
     pub max_connections: u32,
     /// Cost model of the service's engines; `None` if its endpoints are not engines.
     pub engine: Option<EngineModel>,
+    /// What a cold endpoint can handle; `None` if cold endpoints are served as others.
+    pub cold: Option<ColdRate>,
+}
+
+/// What the endpoints of a service can handle while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdRate {
+    /// Requests per second that a cold endpoint can handle.
+    pub per_s: f64,
+    /// Time for which an endpoint is cold after a start.
+    pub duration: Duration,
 }
 
 /// A workspace as found by a key.
--- a/src/gateway/control_updates.rs
+++ b/src/gateway/control_updates.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::eligibility::cold::parse_addresses;
 use super::load::load_exchange::LoadPeers;
 use super::state::Gateway;
 use crate::clock::boot_now;
@@ -66,6 +67,7 @@
         if let Some(document) = &update.document {
             self.gateway.apply_document(document, &name);
         }
+        self.record_cold_state(control, &update);
         if update.full || !update.announcements.is_empty() {
             self.gateway.endpoints.lock().apply_update(&name, update.announcements, update.full);
             self.gateway.update_evidence_starts();
@@ -81,11 +83,31 @@
         let name = control.to_string();
         self.gateway.endpoints.lock().mark_lost(boot_now(), &name);
         self.peers.forget(control);
+        self.gateway.cold.lock().view().forget(boot_now(), control);
         event!(self.gateway.log, ControlUnreachable, "control" => name);
     }
 
     fn on_removed(&self, control: SocketAddr) {
         self.gateway.endpoints.lock().mark_lost(boot_now(), &control.to_string());
         self.peers.forget(control);
+        self.gateway.cold.lock().view().forget(boot_now(), control);
+    }
+}
+
+impl GatewayListener {
+    /// Applies what an update says of cold endpoints and of the entries that share their room.
+    fn record_cold_state(&self, control: SocketAddr, update: &News) {
+        let (mut cold, now) = (self.gateway.cold.lock(), boot_now());
+        for announcement in &update.announcements {
+            cold.record_announcement(now, announcement);
+        }
+        if !update.replicas.is_empty() {
+            let voters = update.replicas.iter().filter(|r| r.voter);
+            cold.view().apply_voters(now, control, parse_addresses(voters.map(|r| &r.address)));
+        }
+        if update.load_addresses_changed {
+            let listed = parse_addresses(update.load_addresses.iter());
+            cold.view().apply_list(now, control, self.load_address, &listed);
+        }
     }
 }
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -104,6 +104,7 @@
         let now = boot_now();
         self.metrics.crashes.inc();
         self.log_crash(endpoint, &suspects);
+        self.cold.lock().record_crash(now, &endpoint.id);
         let suspects = suspects.into_iter().map(|s| s.keys).collect();
         let crash = Crash { endpoint: endpoint_key(&endpoint.id), at: now, suspects };
         self.quarantine.lock().record_crash(now, crash);
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -81,6 +81,8 @@
     pub retry_after: Option<Duration>,
     /// Requests per second that the endpoint takes from all entries together, if it names a limit.
     pub limit_per_s: Option<f64>,
+    /// Time for which the endpoint stays cold, zero if it is not, if the response states it.
+    pub cold_time: Option<Duration>,
 }
 
 /// Wire format of callers, endpoints and configuration documents.
--- a/src/gateway/eligibility/mod.rs
+++ b/src/gateway/eligibility/mod.rs
@@ -3,8 +3,10 @@
 //! Announcements, answers of endpoints, the outcome of sends and reports of other entries come in;
 //! the list of ready endpoints and an [`Eligibility`] for each of them go out.
 
+pub mod cold;
 pub mod endpoint_limits;
 pub mod endpoints;
+pub mod entry_view;
 pub mod health;
 pub mod pooled_evidence;
 pub mod regions;
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -83,7 +83,7 @@
         let endpoint = placement.endpoint.clone();
         let out = req.build_send(&placement, req.caller.last_event);
         let limit = req.head_timeout(&placement);
-        let outcome = send(&req.gateway, &endpoint, &out, &req.caller.id, limit).await;
+        let outcome = send(&req.gateway, &placement, &out, &req.caller.id, limit).await;
         req.record_send(&endpoint, &outcome);
         let reason = match outcome {
             SendOutcome::Responded(response) if req.is_stream(&response) => {
--- a/src/gateway/placement/admission.rs
+++ b/src/gateway/placement/admission.rs
@@ -90,16 +90,16 @@
     engine: &EngineState,
     req: &PlacementRequest,
 ) -> Admission {
-    let slots = model.slots as usize;
+    let usable_slots = f64::from(model.slots) * engine.load_share();
     if !policy.wait_late_short {
-        let limit = f64::from(model.slots) * (1.0 + MAX_LATE_QUEUE_SHARE);
+        let limit = usable_slots * (1.0 + MAX_LATE_QUEUE_SHARE);
         if (engine.request_count as f64) < limit {
             return Admission::Place;
         }
         let cause = RefusalCause::NoSpareSlot;
         return Admission::Refuse { retry_after_ms: LATE_RETRY_AFTER_MS, cause };
     }
-    if engine.request_count + SPARE_SLOTS < slots {
+    if ((engine.request_count + SPARE_SLOTS) as f64) < usable_slots {
         return Admission::Place;
     }
     let has_time = req.remaining_ms > 2.0 * WAIT_INTERVAL_MS;
@@ -146,8 +146,10 @@
     kept_value(req, late) >= required_value
 }
 
-/// Mean prefill backlog per engine in milliseconds.
+/// Mean prefill backlog per engine in milliseconds. Cold engines count with the share of the usual
+/// load that they may take.
 pub fn mean_backlog_ms(engines: &[EngineState]) -> f64 {
     let sum: f64 = engines.iter().map(|e| e.backlog_ms() * e.slowness).sum();
-    sum / engines.len().max(1) as f64
+    let capacity: f64 = engines.iter().map(EngineState::load_share).sum();
+    if capacity > 0.0 { sum / capacity } else { 0.0 }
 }
--- a/src/gateway/placement/decision.rs
+++ b/src/gateway/placement/decision.rs
@@ -219,11 +219,8 @@
     req: &PlacementRequest,
 ) -> Decision {
     let count = engines.count();
-    let short_engines = if policy.short_engines {
-        short_engines_for(model, engines.short_streams(), count)
-    } else {
-        count
-    };
+    let short_engines =
+        if policy.short_engines { short_engines_among(model, engines) } else { count };
     let is_short = model.prefill_ms(req.prompt_tokens) <= SAFE_PREFILL_MS * short_engines as f64;
     let Some(plan) = choose_plan(policy, model, engines, req, short_engines, is_short) else {
         return Decision::TooLarge;
@@ -323,14 +320,23 @@
 /// Number of engines, counted from the start of the list, reserved for short prompts.
 ///
 /// The number follows the short streams in flight, so it adapts within a second or two. All
-/// entries arrive at the same number, because they see the same in-flight sends.
+/// entries arrive at the same number, because they see the same in-flight sends. Cold engines count
+/// with the share of the usual load that they may take.
 pub fn short_engine_count(model: &EngineModel, engines: &[EngineState]) -> usize {
-    short_engines_for(model, engines.short_streams(), engines.len())
+    short_engines_among(model, engines)
 }
 
-fn short_engines_for(model: &EngineModel, short_streams: usize, engines: usize) -> usize {
+fn short_engines_among(model: &EngineModel, engines: &(impl EngineSource + ?Sized)) -> usize {
+    let count = engines.count();
     let per_engine = f64::from(model.slots) * SHORT_OCCUPANCY_SHARE;
-    let wanted = (short_streams as f64 / per_engine).ceil() as usize + 1;
-    let limit = engines.saturating_sub(1).max(1);
-    wanted.max(MIN_SHORT_ENGINES.min(engines / 3)).clamp(1, limit)
+    let wanted = (engines.short_streams() as f64 / per_engine).ceil() as usize + 1;
+    let limit = count.saturating_sub(1).max(1);
+    let wanted = wanted.max(MIN_SHORT_ENGINES.min(count / 3)) as f64;
+    let mut capacity = 0.0;
+    let is_short_of = |index: &usize| {
+        let is_short = capacity < wanted;
+        capacity += engines.load_share(*index);
+        is_short
+    };
+    (0..count).take_while(is_short_of).count().clamp(1, limit)
 }
--- a/src/gateway/placement/engine_model.rs
+++ b/src/gateway/placement/engine_model.rs
@@ -66,6 +66,21 @@
         tokens / self.prefill_tokens_per_ms + pairs_m * self.attention_ms_per_m_pairs
     }
 
+    /// Requests per second that an engine with all slots in use completes, if decoding takes most of
+    /// the time.
+    ///
+    /// ```
+    /// use bitternlead::gateway::placement::engine_model::EngineModel;
+    ///
+    /// let per_s = EngineModel::default().usual_requests_per_s();
+    /// assert!((8.0..12.0).contains(&per_s), "16 slots, and 1,500 tokens of 1 ms for a request");
+    /// ```
+    pub fn usual_requests_per_s(&self) -> f64 {
+        let streams = f64::from(self.slots);
+        let token_ms = self.step_ms + self.per_stream_ms * streams;
+        streams * 1000.0 / (f64::from(self.mean_output_tokens) * token_ms).max(1.0)
+    }
+
     /// Time of the decoding steps of one pass, for this number of streams and their total context
     /// in tokens.
     pub fn stride_ms(&self, streams: usize, context_tokens: u64) -> f64 {
--- a/src/gateway/placement/engine_source.rs
+++ b/src/gateway/placement/engine_source.rs
@@ -27,6 +27,9 @@
 
     /// Number of requests in flight whose prompts are short, at all engines.
     fn short_streams(&self) -> usize;
+
+    /// Share of its usual load that one engine may take.
+    fn load_share(&self, index: usize) -> f64;
 }
 
 impl EngineSource for [EngineState] {
@@ -49,34 +52,46 @@
     fn short_streams(&self) -> usize {
         self.iter().map(|e| e.short_streams).sum()
     }
+
+    fn load_share(&self, index: usize) -> f64 {
+        self[index].load_share()
+    }
 }
 
 /// Engines with the sends in flight that an entry knows of.
-pub struct KnownEngines<'a, F> {
+pub struct KnownEngines<'a, F, S> {
     model: &'a EngineModel,
     now: Moment,
     ids: Vec<&'a EndpointId>,
     in_flight: &'a InFlightSends,
     /// Adds to the state of the engine at an index what does not follow from sends.
     complete: F,
+    /// Share of its usual load that the engine at an index may take.
+    load_share: S,
     all: OnceCell<Vec<EngineState>>,
 }
 
-impl<'a, F: Fn(usize, &mut EngineState)> KnownEngines<'a, F> {
-    /// Lists the engines with these ids. `complete` sets the health of the engine at an index and
-    /// the round trip to it.
+impl<'a, F: Fn(usize, &mut EngineState), S: Fn(usize) -> f64> KnownEngines<'a, F, S> {
+    /// Lists the engines with these ids. `complete` adds to the state of the engine at an index what
+    /// does not follow from sends; `load_share` is the share of its usual load that it may take.
     pub fn new(
         model: &'a EngineModel,
         now: Moment,
         ids: impl Iterator<Item = &'a EndpointId>,
         in_flight: &'a InFlightSends,
         complete: F,
+        load_share: S,
     ) -> Self {
-        Self { model, now, ids: ids.collect(), in_flight, complete, all: OnceCell::new() }
+        let ids = ids.collect();
+        Self { model, now, ids, in_flight, complete, load_share, all: OnceCell::new() }
     }
 }
 
-impl<F: Fn(usize, &mut EngineState)> EngineSource for KnownEngines<'_, F> {
+impl<F, S> EngineSource for KnownEngines<'_, F, S>
+where
+    F: Fn(usize, &mut EngineState),
+    S: Fn(usize) -> f64,
+{
     fn count(&self) -> usize {
         self.ids.len()
     }
@@ -109,4 +124,8 @@
         let sends = self.ids.iter().flat_map(|id| self.in_flight.sends_at(id));
         sends.filter(|f| is_short(self.model, f)).count()
     }
+
+    fn load_share(&self, index: usize) -> f64 {
+        (self.load_share)(index)
+    }
 }
--- a/src/gateway/placement/engine_state.rs
+++ b/src/gateway/placement/engine_state.rs
@@ -36,6 +36,9 @@
 /// Minimum number of engines reserved for short prompts, capped at a third of the fleet.
 pub(super) const MIN_SHORT_ENGINES: usize = 3;
 
+/// Requests that a helper receives at most for one prompt: its part, and a reservation.
+const HELPER_SENDS: usize = 2;
+
 /// A stream that becomes late when one of its pauses exceeds the limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StreamState {
@@ -115,6 +118,11 @@
     pub failure_rate: f64,
     /// Network round trip to the engine in milliseconds.
     pub round_trip_ms: f64,
+    /// Fraction of the usual load that the engine may not take because it is cold; 0.0 if it may
+    /// take all of it.
+    pub cold_reduction: f64,
+    /// Requests that this entry may send to the engine now; `None` for no bound.
+    pub room: Option<usize>,
 }
 
 impl EngineState {
@@ -195,6 +203,16 @@
         stride_ms_for(model, &self.decoding)
     }
 
+    /// Fraction of the usual load that the engine may take.
+    pub fn load_share(&self) -> f64 {
+        1.0 - self.cold_reduction
+    }
+
+    /// Whether the engine may take a part of a prompt, and a reservation with it.
+    pub(super) fn has_room_to_help(&self) -> bool {
+        self.room.is_none_or(|room| room >= HELPER_SENDS)
+    }
+
     /// Total time of the outstanding prefills in milliseconds, at the published speed.
     pub fn backlog_ms(&self) -> f64 {
         self.pending.iter().map(|r| r.remaining_ms).sum()
--- a/src/gateway/placement/plan_search.rs
+++ b/src/gateway/placement/plan_search.rs
@@ -79,9 +79,15 @@
         by_cost.sort_by(|(a, _), (b, _)| a.total_cmp(b));
         let primary = self.choose_primary(&by_cost, &new)?;
         let available = by_cost.iter().map(|(_, index)| *index).filter(|index| {
-            *index != primary && engines[*index].failure_rate < MAX_HELPER_FAILURE_RATE
+            let engine = &engines[*index];
+            *index != primary
+                && engine.failure_rate < MAX_HELPER_FAILURE_RATE
+                && engine.has_room_to_help()
         });
-        let helper_indices: Vec<usize> = available.take(width - 1).collect();
+        // A part takes room of a cold engine that a whole prompt could use.
+        let warm = available.clone().filter(|index| engines[*index].room.is_none());
+        let cold = available.filter(|index| engines[*index].room.is_some());
+        let helper_indices: Vec<usize> = warm.chain(cold).take(width - 1).collect();
         if helper_indices.len() + 1 < width {
             return None;
         }
--- a/src/gateway/placement/policy.rs
+++ b/src/gateway/placement/policy.rs
@@ -35,6 +35,8 @@
     pub memory_budget: bool,
     /// Entries tell each other what they observe of endpoints.
     pub pooled_evidence: bool,
+    /// All entries together send a bounded rate to cold endpoints.
+    pub cold_bound: bool,
 }
 
 impl Default for Policy {
@@ -55,6 +57,7 @@
             wait_for_config: true,
             memory_budget: true,
             pooled_evidence: true,
+            cold_bound: true,
         }
     }
 }
@@ -107,6 +110,7 @@
             ("wait-for-config", &mut self.wait_for_config),
             ("memory-budget", &mut self.memory_budget),
             ("pooled-evidence", &mut self.pooled_evidence),
+            ("cold-bound", &mut self.cold_bound),
         ]
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -210,7 +210,7 @@
         "endpoint" => placement.endpoint.id.as_str(), "reason" => reason,
         "sends" => req.sends, "after_event" => progress.last_event);
     let out = req.build_send(&placement, progress.last_event);
-    let attempt = send(&req.gateway, &placement.endpoint, &out, &req.caller.id, limit);
+    let attempt = send(&req.gateway, &placement, &out, &req.caller.id, limit);
     let send_outcome = tokio::select! {
         send_outcome = attempt => send_outcome,
         () = tx.closed() => return None,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -136,6 +136,9 @@
         gateway.health.lock().retain(|id| endpoints.is_ready(id));
         gateway.expire_quarantine();
         gateway.limits.lock().retain(boot_now(), |id| endpoints.is_ready(id));
+        let mut cold = gateway.cold.lock();
+        cold.retain(boot_now(), |id| endpoints.is_ready(id));
+        gateway.metrics.cold_endpoints.set(cold.cold_count(boot_now()) as i64);
     }
 }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -9,12 +9,11 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use super::choose::Placement;
 use super::dialect::ResponseHead;
-use super::eligibility::endpoints::Endpoint;
 use super::pool::Connection;
 use super::reason::Reason;
 use super::state::Gateway;
-use crate::directory::EndpointId;
 
 /// Maximum number of idle connections to try before opening a new one.
 const MAX_IDLE_ATTEMPTS: usize = 3;
@@ -73,11 +72,12 @@
 /// Sends a request and waits at most `limit` for the head of the response.
 pub async fn send(
     gateway: &Arc<Gateway>,
-    endpoint: &Endpoint,
+    placement: &Placement,
     out: &OutgoingRequest,
     id: &str,
     limit: Duration,
 ) -> SendOutcome {
+    let endpoint = &placement.endpoint;
     let mut req = out.build();
     for _ in 0..MAX_IDLE_ATTEMPTS {
         // The zone may have been drained while helpers granted memory or a connection was made.
@@ -85,7 +85,7 @@
             return SendOutcome::Withheld;
         }
         let Some(conn) = gateway.pool.take(endpoint.addr) else { break };
-        match send_on(gateway, &endpoint.id, conn, req, id, limit).await {
+        match send_on(gateway, placement, conn, req, id, limit).await {
             Ok(outcome) => return outcome,
             Err(unsent) => req = unsent,
         }
@@ -98,7 +98,7 @@
         gateway.pool.put(conn, None);
         return SendOutcome::Withheld;
     }
-    match send_on(gateway, &endpoint.id, conn, req, id, limit).await {
+    match send_on(gateway, placement, conn, req, id, limit).await {
         Ok(outcome) => outcome,
         Err(_) => SendOutcome::NotSent("a new connection was closed at once".into()),
     }
@@ -107,7 +107,7 @@
 /// Sends on one connection; returns the request if no byte of it was sent.
 async fn send_on(
     gateway: &Arc<Gateway>,
-    endpoint: &EndpointId,
+    placement: &Placement,
     mut conn: Connection,
     req: Request<Full<Bytes>>,
     id: &str,
@@ -116,6 +116,8 @@
     if conn.sender.ready().await.is_err() {
         return Err(req);
     }
+    let (endpoint, in_flight) = (&placement.endpoint.id, &placement.in_flight);
+    in_flight.mark_sent();
     let received = match timeout(limit, conn.sender.try_send_request(req)).await {
         Err(_) => return Ok(SendOutcome::Unknown("no answer in time".into())),
         Ok(received) => received,
@@ -124,6 +126,7 @@
         Ok(response) => response,
         Err(mut e) => {
             if let Some(req) = e.take_message() {
+                in_flight.mark_unsent();
                 return Err(req);
             }
             let reason = Reason::detailed("connection lost", error_chain(&e.into_error()));
@@ -131,7 +134,12 @@
         }
     };
     let (parts, body) = response.into_parts();
+    // Another endpoint has taken over the address.
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        in_flight.mark_unsent();
+    }
     let head = gateway.dialect.decode_response(&parts);
+    gateway.record_cold_time(endpoint, head.cold_time);
     gateway.record_limit(endpoint, head.limit_per_s);
     if let Some(named) = head.retry_after {
         gateway.record_named_time(endpoint, named);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use super::config::GatewayConfig;
 use super::crash_watch::CheckedEndpoints;
 use super::dialect::Dialect;
+use super::eligibility::cold::{ColdEndpoints, ColdSettings, SendClaim};
 use super::eligibility::endpoint_limits::{EndpointLimits, LimitChange};
 use super::eligibility::endpoints::{Endpoint, Endpoints};
 use super::eligibility::health::Health;
@@ -46,6 +47,8 @@
     pub regions: Regions,
     /// Bound on retries over all entries.
     pub budget: BudgetConfig,
+    /// Bound on what cold endpoints receive.
+    pub cold: ColdSettings,
     /// Mechanisms in use.
     pub policy: Policy,
     /// Rate up to which load is sent to other entries, in bytes per second.
@@ -61,6 +64,7 @@
             zone: SmolStr::default(),
             regions: Regions::default(),
             budget: BudgetConfig::default(),
+            cold: ColdSettings::default(),
             policy: Policy::default(),
             load_bytes_per_s: 1e6,
             memory_limit: None,
@@ -96,6 +100,8 @@
     pub limits: Arc<Mutex<EndpointLimits>>,
     /// Availability zones that operators drain.
     pub zone_drains: Arc<Mutex<ZoneDrains>>,
+    /// Endpoints that are cold, and what this entry sent to them.
+    pub cold: Arc<Mutex<ColdEndpoints>>,
     /// Rules that say which ready endpoints a request may be sent to, in the order in which they are
     /// asked.
     pub eligibility_rules: Vec<Arc<dyn EligibilityRule>>,
@@ -140,6 +146,8 @@
             let (health, pooled) = (Arc::clone(&health), Arc::clone(&pooled_evidence));
             eligibility_rules.push(Arc::new(EvidenceRule { health, pooled }));
         }
+        let cold = Arc::new(Mutex::new(ColdEndpoints::new(cfg.cold)));
+        eligibility_rules.push(cold.clone());
         // The limits come last: they count each question as demand for the endpoint.
         eligibility_rules.push(limits.clone());
         let gateway = Self {
@@ -156,6 +164,7 @@
             pooled_evidence,
             limits,
             zone_drains,
+            cold,
             eligibility_rules,
             quarantine: Mutex::default(),
             quarantine_changed: Notify::new(),
@@ -208,6 +217,9 @@
                     event!(self.log, RegionsUnknown, "version" => document.version,
                         "findings" => unknown.to_string());
                 }
+                let bounded = config.services.values().filter(|_| self.cfg.policy.cold_bound);
+                let rates = bounded.filter_map(|s| Some((s.name.clone(), s.cold?)));
+                self.cold.lock().set_rates(rates);
                 self.config.store(Some(Arc::new(config)));
                 self.config_applied.notify_waiters();
                 self.metrics.config_version.set(document.version);
@@ -289,6 +301,13 @@
             "named_ms" => named.as_millis() as u64, "ms" => time.as_millis() as u64);
     }
 
+    /// Records the cold time that a response of an endpoint states, if it does.
+    pub fn record_cold_time(&self, id: &EndpointId, cold_time: Option<Duration>) {
+        if let Some(cold_time) = cold_time {
+            self.cold.lock().record_answer(boot_now(), id, cold_time);
+        }
+    }
+
     /// Records and logs that an endpoint said in an answer that it leaves.
     pub fn record_leaving(&self, id: &EndpointId) {
         if self.endpoints.lock().mark_leaving(id) {
@@ -314,8 +333,10 @@
         }
     }
 
-    /// Adds sends in flight; they are removed when the guard is dropped.
-    pub fn track_sends(self: &Arc<Self>, sends: Vec<InFlightSend>) -> InFlightGuard {
+    /// Adds sends in flight, that of the request first; they are removed when the guard is dropped.
+    /// `None` if one of the endpoints is cold and has no room for them.
+    pub fn track_sends(self: &Arc<Self>, sends: Vec<InFlightSend>) -> Option<InFlightGuard> {
+        let claims = self.claim_sends(&sends)?;
         let mut limits = self.limits.lock();
         for send in sends.iter().filter(|send| !send.is_helper) {
             limits.record_send(boot_now(), &send.endpoint);
@@ -325,7 +346,26 @@
         let keys = sends.into_iter().map(|f| in_flight.insert(f)).collect();
         drop(in_flight);
         self.load_changed.notify_one();
-        InFlightGuard { gateway: Arc::clone(self), keys }
+        Some(InFlightGuard { gateway: Arc::clone(self), keys, claims })
+    }
+
+    /// Counts the sends at cold endpoints: that of the request, and those of the helpers. A helper
+    /// that holds KV cache gets a reservation besides its part of the prompt.
+    fn claim_sends(&self, sends: &[InFlightSend]) -> Option<SendClaims> {
+        let count = |f: &InFlightSend| if f.is_helper && f.held_tokens > 0 { 2 } else { 1 };
+        let wanted: Vec<(EndpointId, usize)> =
+            sends.iter().map(|f| (f.endpoint.clone(), count(f))).collect();
+        let (primary, helpers) = wanted.split_at(wanted.len().min(1));
+        let now = boot_now();
+        let mut cold = self.cold.lock();
+        let primary = cold.claim(now, primary)?;
+        match cold.claim(now, helpers) {
+            Some(helpers) => Some(SendClaims { primary, helpers }),
+            None => {
+                cold.release(&primary);
+                None
+            }
+        }
     }
 
     /// Whether the retry budget of a service has a retry left.
@@ -345,9 +385,33 @@
 pub struct InFlightGuard {
     gateway: Arc<Gateway>,
     keys: Vec<SendKey>,
+    claims: SendClaims,
+}
+
+/// What the sends of one request claim of the room of cold endpoints.
+struct SendClaims {
+    primary: SendClaim,
+    helpers: SendClaim,
 }
 
 impl InFlightGuard {
+    /// Notes that the request is sent at this moment, and the helpers' parts with it.
+    pub fn mark_sent(&self) {
+        let (mut cold, now) = (self.gateway.cold.lock(), boot_now());
+        cold.mark_sent(now, &self.claims.primary);
+        cold.mark_sent(now, &self.claims.helpers);
+    }
+
+    /// Notes that the request was not sent, or that it does not count at its endpoint.
+    pub fn mark_unsent(&self) {
+        self.gateway.cold.lock().mark_unsent(&self.claims.primary);
+    }
+
+    /// Notes that the helpers got a call at this moment.
+    pub fn mark_helpers_called(&self) {
+        self.gateway.cold.lock().mark_sent(boot_now(), &self.claims.helpers);
+    }
+
     /// Marks the stream as late, so that further delay of it counts as no loss.
     pub fn mark_late(&self) {
         let mut in_flight = self.gateway.in_flight.lock();
@@ -384,6 +448,10 @@
             in_flight.remove(now, *key);
         }
         drop(in_flight);
+        let mut cold = self.gateway.cold.lock();
+        cold.release(&self.claims.primary);
+        cold.release(&self.claims.helpers);
+        drop(cold);
         self.gateway.load_changed.notify_one();
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -73,6 +73,8 @@
     pub zones_drained: Gauge,
     /// Verdicts by which poison requests are refused.
     pub quarantined: Gauge,
+    /// Number of endpoints that are cold.
+    pub cold_endpoints: Gauge,
     /// Version of the applied configuration.
     pub config_version: Gauge<u64, AtomicU64>,
     /// 1 while the configuration lease is held, else 0.
@@ -107,6 +109,7 @@
             crashes: Counter::default(),
             zones_drained: Gauge::default(),
             quarantined: Gauge::default(),
+            cold_endpoints: Gauge::default(),
             config_version: Gauge::default(),
             lease: Gauge::default(),
             kv_reserved: Gauge::default(),
@@ -140,6 +143,7 @@
         );
         r.register("endpoint_crashes", "Crashes of endpoints noticed", self.crashes.clone());
         r.register("zones_drained", "Zones that operators drain", self.zones_drained.clone());
+        r.register("cold_endpoints", "Endpoints that are cold", self.cold_endpoints.clone());
         r.register("quarantined", "Kinds of poison request refused", self.quarantined.clone());
         r.register("config_version", "Configuration in force", self.config_version.clone());
         r.register("lease_held", "Configuration lease held", self.lease.clone());
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -9,7 +9,9 @@
 use smol_str::SmolStr;
 
 use crate::findings::{Findings, Place};
-use crate::gateway::config::{CallerLimits, GatewayConfig, RetryPolicy, Route, Service, Workspace};
+use crate::gateway::config::{
+    CallerLimits, ColdRate, GatewayConfig, RetryPolicy, Route, Service, Workspace,
+};
 use crate::gateway::eligibility::regions::RegionSet;
 use crate::gateway::placement::engine_model::EngineModel;
 use crate::ids::RegionName;
@@ -78,6 +80,10 @@
     max_conns: Option<u32>,
     /// Performance model of the engines; missing for plain services.
     runtime: Option<WireRuntime>,
+    /// Seconds for which an endpoint is cold after a start; missing or 0 for no bound.
+    cold_s: Option<f64>,
+    /// Requests per second that a cold endpoint can handle; missing or 0 for no bound.
+    cold_per_s: Option<f64>,
 }
 
 /// Performance model of an engine.
@@ -163,6 +169,7 @@
             name: service.name.clone(),
             max_connections: service.max_conns.unwrap_or(64),
             engine: service.runtime.as_ref().map(decode_engine),
+            cold: decode_cold_rate(service),
         };
         config.services.insert(service.name.clone(), Arc::new(decoded));
     }
@@ -202,6 +209,12 @@
     }
 }
 
+fn decode_cold_rate(service: &WireService) -> Option<ColdRate> {
+    let duration = Duration::try_from_secs_f64(service.cold_s?).ok().filter(|d| !d.is_zero())?;
+    let per_s = service.cold_per_s.filter(|per_s| *per_s > 0.0)?;
+    Some(ColdRate { per_s, duration })
+}
+
 fn decode_engine(runtime: &WireRuntime) -> EngineModel {
     let defaults = EngineModel::default();
     EngineModel {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -44,6 +44,9 @@
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// `1` if the endpoint leaves and wants no more requests.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Milliseconds for which the endpoint stays cold, in its answers to health checks; 0 if it is not
+/// cold.
+const COLD_MS: HeaderName = HeaderName::from_static("cold-ms");
 /// Time for which the endpoint keeps an idle connection open.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -137,6 +140,7 @@
                 .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
                 .and_then(parse_retry_after),
             limit_per_s: header_text(headers, &SERVER_LIMIT).and_then(parse_limit),
+            cold_time: header_text(headers, &COLD_MS).and_then(parse_cold_time),
             unencoded: !headers.contains_key(header::CONTENT_ENCODING),
         }
     }
@@ -234,6 +238,12 @@
     value.parse().ok().filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)
 }
 
+/// Parses a time in milliseconds; what is no number of zero or more states nothing.
+fn parse_cold_time(value: &str) -> Option<Duration> {
+    let ms = value.parse().ok().filter(|ms: &f64| ms.is_finite() && *ms >= 0.0)?;
+    Duration::try_from_secs_f64(ms / 1000.0).ok()
+}
+
 /// Names in the `Connection` header, which are hop-by-hop too.
 fn parse_connection(headers: &HeaderMap) -> Vec<String> {
     let Some(value) = header_text(headers, &header::CONNECTION) else { return Vec::new() };
--- a/src/platform/roles.rs
+++ b/src/platform/roles.rs
@@ -48,6 +48,7 @@
         zone: settings.zone.clone(),
         regions: Regions::new(settings.zones.clone()),
         budget: settings.budget.clone(),
+        cold: settings.cold,
         policy,
         load_bytes_per_s: settings.link_bytes_per_s * LOAD_LINK_SHARE,
         memory_limit: settings.memory_limit,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -13,6 +13,7 @@
 use crate::control::service::SeedSource;
 use crate::findings::{Findings, Place};
 use crate::gateway::budget::BudgetConfig;
+use crate::gateway::eligibility::cold::ColdSettings;
 use crate::ids::{RegionName, ZoneName};
 
 /// Environment variable with the path of the settings file.
@@ -52,6 +53,8 @@
     pub grace: Duration,
     /// Retry budget that all requests share.
     pub budget: BudgetConfig,
+    /// Bound on what cold endpoints receive.
+    pub cold: ColdSettings,
     /// Time without an announcement after which an endpoint counts as silent.
     pub endpoint_timeout: Duration,
     /// Bandwidth of this host's link, in bytes per second.
@@ -124,6 +127,10 @@
                 slack: fields.number("/Bounds/RetrySlack", 50.0),
                 window: Duration::from_secs_f64(fields.number("/Bounds/RetryWindowS", 10.0)),
             },
+            cold: ColdSettings {
+                overage: fields.number("/Bounds/ColdOverage", 1.5),
+                slack: fields.number("/Bounds/ColdSlack", 5.0),
+            },
             link_bytes_per_s: fields.number("/Limits/LinkMbps", 1000.0) * 1e6 / 8.0,
             pooled_evidence: fields.list_contains("/Contracts", "places"),
             memory_limit: fields.memory_limit("/Limits/MemoryMb"),
--- a/tests/emulator/fleet.rs
+++ b/tests/emulator/fleet.rs
@@ -272,7 +272,7 @@
         let drawn: Vec<usize> = draw_candidates(&indices, req.request_hash).copied().collect();
         let ids = drawn.iter().map(|at| &self.ids[*at]);
         let complete = |_, state: &mut EngineState| state.round_trip_ms = 2.0 * LATENCY_MS;
-        let engines = KnownEngines::new(&self.model, now, ids, in_flight, complete);
+        let engines = KnownEngines::new(&self.model, now, ids, in_flight, complete, |_| 1.0);
         let backlog = || mean_backlog_ms(engines.all());
         req.smoothed_backlog_ms = if is_worth_splitting(&self.model, req.prompt_tokens) {
             smoothed_backlog.record(now, backlog())
