Test cold endpoints with real processes and in placement

Cause: the bound was tested without a network only. Change: a zone of stand-in servers returns cold under a burst and counts arrivals, and two servers become cold without a start; tests of the share of cold engines in placement and of the decoded fields. A refused connection counts like a crash, since the endpoint will be cold after its start.

--- a/src/gateway/eligibility/cold.rs
+++ b/src/gateway/eligibility/cold.rs
@@ -221,7 +221,7 @@
         }
     }
 
-    /// Records that an endpoint crashed. Until it says otherwise it counts as cold for as long as it
+    /// Records that an endpoint crashed or stopped. Until it says otherwise it counts as cold for as long as it
     /// would be after a start.
     pub fn record_crash(&mut self, now: Moment, id: &EndpointId) {
         if let Some(state) = self.endpoints.get_mut(id) {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one endpoint and receives the head of the response.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use super::pool::Connection;
 use super::reason::Reason;
 use super::state::Gateway;
+use crate::clock::boot_now;
 
 /// Maximum number of idle connections to try before opening a new one.
 const MAX_IDLE_ATTEMPTS: usize = 3;
@@ -92,7 +94,13 @@
     }
     let conn = match gateway.pool.connect(endpoint.addr).await {
         Ok(conn) => conn,
-        Err(e) => return SendOutcome::NotSent(Reason::detailed("cannot connect", e)),
+        Err(e) => {
+            // Nothing listens there: the endpoint has stopped, and will be cold after its start.
+            if e.kind() == ErrorKind::ConnectionRefused {
+                gateway.cold.lock().record_crash(boot_now(), &endpoint.id);
+            }
+            return SendOutcome::NotSent(Reason::detailed("cannot connect", e));
+        }
     };
     if gateway.is_zone_drained(endpoint) {
         gateway.pool.put(conn, None);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -238,6 +238,9 @@
         self.metrics.zones_drained.set(drains.len() as i64);
         drop(drains);
         for change in changes {
+            if let ZoneDrainChange::Ended(zone) = &change {
+                self.cold.lock().record_drain_end(zone, boot_now());
+            }
             let (zone, is_drained) = match &change {
                 ZoneDrainChange::Started(zone) => (zone.as_str(), true),
                 ZoneDrainChange::Ended(zone) => (zone.as_str(), false),
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -9,12 +9,16 @@
 
 use bitternlead::directory::Directory;
 use bitternlead::gateway::config::ColdRate;
+use bitternlead::gateway::dialect::Dialect;
 use bitternlead::gateway::eligibility::cold::{ColdEndpoints, ColdSettings, WINDOW};
 use bitternlead::gateway::eligibility::entry_view::{
     EntryView, JOIN_TIME, Place, STALE_TIME, UNLISTED_TTL,
 };
+use bitternlead::platform::headers::PlatformDialect;
+use bitternlead::platform::settings::PlatformSettings;
 use bitternlead::wire::{Announcement, Standing};
 use fleet::{Fleet, Scenario};
+use http::Response;
 use proptest::prelude::*;
 
 const ENTRY_COUNTS: [usize; 4] = [6, 33, 105, 340];
@@ -117,6 +121,10 @@
         scenario.entries, scenario.per_s
     );
     assert!(most <= bound, "{most} arrivals in a second, the bound is {bound}: {scenario:?}");
+    assert!(
+        most <= bound / 2,
+        "{most} arrivals, the other half of {bound} is a reserve: {scenario:?}"
+    );
     assert!(used >= 0.25, "only {used:.2} of the bound is used: {scenario:?}");
 }
 
@@ -257,6 +265,40 @@
     assert_eq!(cold.room(ms(13_000), &id), None, "the cold time of the service is over");
 }
 
+/// Guards against documents, settings and answers that are read in another way than they are written.
+#[test]
+fn rates_bounds_and_cold_times_are_decoded_and_missing_or_zero_means_none() {
+    let decode = |service: serde_json::Value| {
+        let document = serde_json::json!({ "Version": 1, "Routes": [], "Backends": [service] });
+        let config = bitternlead::platform::document::decode(document.to_string().as_bytes());
+        config.unwrap().services["engines"].cold
+    };
+    let rate = decode(serde_json::json!({ "Name": "engines", "ColdS": 2.5, "ColdPerS": 26 }));
+    assert_eq!(rate, Some(ColdRate { per_s: 26.0, duration: ms(2500) }));
+    for (time, per_s) in [(0.0, 26.0), (3.0, 0.0), (-1.0, 26.0), (3.0, -1.0)] {
+        let service = serde_json::json!({ "Name": "engines", "ColdS": time, "ColdPerS": per_s });
+        assert_eq!(decode(service), None, "{time} {per_s}");
+    }
+    assert_eq!(decode(serde_json::json!({ "Name": "engines" })), None);
+    let settings = |bounds: serde_json::Value| {
+        let value = serde_json::json!({
+            "NodeName": "n", "Zone": "z", "Ip": "10.0.0.1", "Seeds": [],
+            "PortRange": [7340, 7355], "Bounds": bounds,
+        });
+        PlatformSettings::decode("settings.json", &value).unwrap().cold
+    };
+    assert_eq!(settings(serde_json::json!({})), ColdSettings { overage: 1.5, slack: 5.0 });
+    let other = settings(serde_json::json!({ "ColdOverage": 2, "ColdSlack": 0 }));
+    assert_eq!(other, ColdSettings { overage: 2.0, slack: 0.0 });
+    let answer = |value: Option<&str>| {
+        let answer = value.into_iter().fold(Response::builder(), |a, v| a.header("Cold-Ms", v));
+        PlatformDialect.decode_response(&answer.body(()).unwrap().into_parts().0).cold_time
+    };
+    assert_eq!(answer(Some("1500")), Some(ms(1500)));
+    assert_eq!(answer(Some("0")), Some(ms(0)));
+    assert_eq!((answer(None), answer(Some("soon")), answer(Some("-1"))), (None, None, None));
+}
+
 /// Guards against changes for services without a rate.
 #[test]
 fn endpoints_of_a_service_without_a_rate_have_no_bound() {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,6 +5,7 @@
 use bitternlead::directory::EndpointId;
 use bitternlead::gateway::load::in_flight::{InFlightSend, InFlightSends};
 use bitternlead::gateway::load::replay::replay;
+use bitternlead::gateway::placement::admission::{Admission, admit_late_short, mean_backlog_ms};
 use bitternlead::gateway::placement::engine_model::EngineModel;
 use bitternlead::gateway::placement::engine_source::{EngineSource, KnownEngines};
 use bitternlead::gateway::placement::engine_state::{EngineState, build_states};
@@ -127,6 +128,51 @@
     assert!(short_engine_count(&model, &many) < 14, "one engine remains for long prompts");
 }
 
+/// Guards against too few engines for short prompts while some of them are cold.
+#[test]
+fn cold_engines_count_among_those_for_short_prompts_with_the_load_that_they_may_take() {
+    let model = EngineModel::default();
+    let sends: Vec<InFlightSend> = (0..30).map(|n| send(n % 14, SHORT, 0, 46)).collect();
+    let mut engines = states(14, 0, &sends);
+    let warm = short_engine_count(&model, &engines);
+    for engine in &mut engines[..4] {
+        engine.cold_reduction = 0.75;
+    }
+    assert_eq!(short_engine_count(&model, &engines), warm + 3, "four cold ones count as one");
+    engines.iter_mut().for_each(|e| e.cold_reduction = 0.75);
+    assert_eq!(short_engine_count(&model, &engines), 13, "one engine remains for long prompts");
+}
+
+/// Guards against late requests that fill the slots of an engine which may not take them.
+#[test]
+fn a_cold_engine_has_fewer_slots_for_late_requests_and_a_larger_backlog() {
+    let (model, policy) = (EngineModel::default(), Policy::default());
+    let sends: Vec<InFlightSend> = (0..6).map(|_| send(0, SHORT, 0, 0)).collect();
+    let mut engines = states(1, 0, &sends);
+    let req = PlacementRequest { waited_ms: 500.0, ..request(SHORT) };
+    let warm = admit_late_short(&policy, &model, &engines[0], &req);
+    let backlog = mean_backlog_ms(&engines);
+    engines[0].cold_reduction = 0.5;
+    assert_eq!(warm, Admission::Place);
+    assert_ne!(admit_late_short(&policy, &model, &engines[0], &req), Admission::Place);
+    assert!((mean_backlog_ms(&engines) - 2.0 * backlog).abs() < 1e-6);
+}
+
+/// Guards against parts of long prompts that use up the room of cold engines.
+#[test]
+fn warm_engines_help_before_cold_ones_and_only_those_with_room_for_a_reservation() {
+    let mut engines = states(6, 0, &[]);
+    let width = plan(&engines, &request(LONG)).helpers.len();
+    assert!(width >= 3, "{width} helpers");
+    engines[2].room = Some(1);
+    engines[3].room = Some(2);
+    let placed = plan(&engines, &request(LONG));
+    assert!(placed.helpers.iter().all(|h| h.index != 2), "{placed:?}");
+    if let Some(at) = placed.helpers.iter().position(|h| h.index == 3) {
+        assert_eq!(at, placed.helpers.len() - 1, "{placed:?}");
+    }
+}
+
 #[test]
 fn committed_memory_never_exceeds_capacity() {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
@@ -372,7 +418,7 @@
         let ids: Vec<EndpointId> = (0..24).map(|at| format!("e{at:02}").into()).collect();
         let known = in_flight.all().chain(in_flight.ended_prefills());
         let states = build_states(&model, now, ids.iter(), known);
-        let engines = KnownEngines::new(&model, now, ids.iter(), &in_flight, |_, _| {});
+        let engines = KnownEngines::new(&model, now, ids.iter(), &in_flight, |_, _| {}, |_| 1.0);
         let req = PlacementRequest { request_hash, ..request(kind) };
         let decided = decide_among(&policy, &model, &engines, &req);
         prop_assert_eq!(engines.short_streams(), states.short_streams());
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of the `platform` commands: real processes of the system on loopback addresses,
 //! with simulated servers, callers and operators.
 
+mod cold;
 mod deployment;
 mod evidence;
 mod limits;
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -127,6 +127,23 @@
         times.iter().map(count_from).max().unwrap_or(0)
     }
 
+    /// Highest number of requests that arrived at a server in any second of a time span, and their
+    /// number in the whole span.
+    pub fn arrivals_in_a_second(
+        &self,
+        server: &str,
+        span: std::ops::Range<Instant>,
+    ) -> (usize, usize) {
+        let runs = self.runs.lock();
+        let at_server = runs.iter().filter(|r| r.server == server && span.contains(&r.at));
+        let times: Vec<Instant> = at_server.map(|r| r.at).collect();
+        let second = Duration::from_secs(1);
+        let count_from = |from: &Instant| {
+            times.iter().filter(|at| (*from..*from + second).contains(*at)).count()
+        };
+        (times.iter().map(count_from).max().unwrap_or(0), times.len())
+    }
+
     /// Requests that arrived at servers with a part, after a time.
     pub fn arrivals_with_part(&self, part: &str, after: Instant) -> usize {
         let runs = self.runs.lock();
@@ -172,6 +189,8 @@
     seq: Arc<Mutex<u64>>,
     /// Signalled when a request crashes the server.
     crashed: Arc<Notify>,
+    /// Until when the server announces that it is cold.
+    cold_until: Arc<Mutex<Instant>>,
 }
 
 impl Server {
@@ -183,7 +202,7 @@
         control: Vec<SocketAddr>,
         records: &Records,
     ) -> Self {
-        Self::start_in("zone-a", id, service, addr, control, records).await
+        Self::start_with("zone-a", Duration::ZERO, id, service, addr, control, records).await
     }
 
     /// Starts a server in an availability zone.
@@ -194,14 +213,40 @@
         addr: SocketAddr,
         control: Vec<SocketAddr>,
         records: &Records,
+    ) -> Self {
+        Self::start_with(zone, Duration::ZERO, id, service, addr, control, records).await
+    }
+
+    /// Starts a server that announces for some time that it is cold.
+    pub async fn start_cold(
+        id: &str,
+        service: &'static str,
+        addr: SocketAddr,
+        control: Vec<SocketAddr>,
+        records: &Records,
+        cold_time: Duration,
+    ) -> Self {
+        Self::start_with("zone-a", cold_time, id, service, addr, control, records).await
+    }
+
+    async fn start_with(
+        zone: &'static str,
+        cold_time: Duration,
+        id: &str,
+        service: &'static str,
+        addr: SocketAddr,
+        control: Vec<SocketAddr>,
+        records: &Records,
     ) -> Self {
         let listener = TcpListener::bind(addr).await.unwrap();
         let state = Arc::new(Mutex::new((ServerMode::Normal, "ready", zone)));
         let started_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let seq = Arc::new(Mutex::new(0));
         let crashed = Arc::new(Notify::new());
+        let cold_until = Arc::new(Mutex::new(Instant::now() + cold_time));
+        let (id, tasks) = (id.to_owned(), vec![]);
         let mut server =
-            Self { id: id.into(), addr, service, state, started_ms, tasks: vec![], seq, crashed };
+            Self { id, addr, service, state, started_ms, tasks, seq, crashed, cold_until };
         let (name, state, records) = (server.id.clone(), server.state.clone(), records.clone());
         let crashed = server.crashed.clone();
         server.tasks.push(tokio::spawn(async move {
@@ -235,6 +280,7 @@
             started_ms,
             state: server.state.clone(),
             seq: server.seq.clone(),
+            cold_until: server.cold_until.clone(),
         };
         server.tasks.push(tokio::spawn(async move {
             loop {
@@ -258,6 +304,11 @@
         self.state.lock().2 = zone;
     }
 
+    /// Makes the server announce, with the next announcement, that it is cold.
+    pub fn set_cold(&self, cold_time: Duration) {
+        *self.cold_until.lock() = Instant::now() + cold_time;
+    }
+
     /// Announces that the server drains, and returns once control acknowledges it.
     pub async fn drain(&self, control: &[SocketAddr]) {
         self.state.lock().1 = "draining";
@@ -268,6 +319,7 @@
             started_ms: self.started_ms,
             state: self.state.clone(),
             seq: self.seq.clone(),
+            cold_until: self.cold_until.clone(),
         };
         loop {
             for addr in control {
@@ -323,15 +375,17 @@
     started_ms: u64,
     state: Arc<Mutex<ServerState>>,
     seq: Arc<Mutex<u64>>,
+    cold_until: Arc<Mutex<Instant>>,
 }
 
 impl Announcer {
     async fn send(&self, control: SocketAddr) -> Option<u16> {
         let (_, state, zone) = *self.state.lock();
         *self.seq.lock() += 1;
+        let cold_time = self.cold_until.lock().saturating_duration_since(Instant::now());
         let body = json!({
             "Backend": self.service, "Address": self.addr.to_string(), "Zone": zone,
-            "Version": "v1", "Slots": 16, "State": state, "ColdLeftMs": 0,
+            "Version": "v1", "Slots": 16, "State": state, "ColdLeftMs": cold_time.as_millis() as u64,
             "Seq": *self.seq.lock(), "born": self.started_ms,
         });
         let req = Request::put(format!("/api/instances/{}", self.id))
