--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -229,8 +229,9 @@
     /// The document is left out unless it is newer than the one that the subscriber holds.
     pub fn subscribe(self: &Arc<Self>, conn: &Conn, call: u64, subscribe: Subscribe) {
         let (tx, rx) = mpsc::channel(MAX_QUEUED_UPDATES);
-        let published = self.published.borrow().clone();
         let mut inner = self.inner.lock();
+        // Read under the lock, so that no change falls between this state and the first update.
+        let published = self.published.borrow().clone();
         let mut subscriber = Subscriber {
             load_address: subscribe.load_address,
             document_version: subscribe.document_version,
--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -118,11 +118,14 @@
             helpers: placement.helpers.clone(),
             rank: self.rank(placement),
         };
+        let mut zones = placement.helper_zones.clone();
+        zones.push(placement.endpoint.zone.clone());
         OutgoingRequest {
             method: self.head.method.clone(),
             uri: self.head.uri.clone(),
             headers: self.gateway.dialect.encode_request(&self.head.headers, &options),
             body: self.body.clone(),
+            zones,
         }
     }
 
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -23,7 +23,7 @@
 use super::state::InFlightGuard;
 use crate::clock::boot_now;
 use crate::event;
-use crate::ids::Moment;
+use crate::ids::{Moment, ZoneName};
 
 /// Upper bound of the random amount added to each cost. Costs that differ by less count as equal,
 /// and the choice between such endpoints is random.
@@ -65,6 +65,8 @@
     pub endpoint: Endpoint,
     /// Addresses of the helper engines, each with its reservation id if it holds KV cache.
     pub helpers: Vec<(String, Option<SmolStr>)>,
+    /// Availability zones of the helper engines.
+    pub helper_zones: Vec<ZoneName>,
     /// Whether the request already missed its objective and is queued behind others at the engine.
     pub late: bool,
     /// Predicted time to the first token; `None` for endpoints that are not engines.
@@ -207,6 +209,7 @@
         Choice::Placed(Box::new(Placement {
             endpoint,
             helpers: Vec::new(),
+            helper_zones: Vec::new(),
             late: false,
             predicted_first_token: None,
             reservation: None,
@@ -306,11 +309,13 @@
             Some(reserved)
         };
         let mut helpers = reservation.as_ref().map(Reservation::helpers).unwrap_or_default();
+        let helper_zones = plan.helpers.iter().map(|h| candidates[h.index].zone.clone()).collect();
         let compute_helpers = plan.helpers.iter().filter(|h| h.held_tokens == 0);
         helpers.extend(compute_helpers.map(|h| (candidates[h.index].addr.to_string(), None)));
         Choice::Placed(Box::new(Placement {
             endpoint: candidates[plan.primary].clone(),
             helpers,
+            helper_zones,
             late: plan.late,
             predicted_first_token: Some(Duration::from_secs_f64(plan.first_token_ms / 1000.0)),
             reservation,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -16,6 +16,7 @@
 use super::reason::Reason;
 use super::state::Gateway;
 use crate::clock::boot_now;
+use crate::ids::ZoneName;
 
 /// Maximum number of idle connections to try before opening a new one.
 const MAX_IDLE_ATTEMPTS: usize = 3;
@@ -31,6 +32,8 @@
     pub headers: HeaderMap,
     /// Complete body of the caller's request.
     pub body: Bytes,
+    /// Availability zones of the endpoint and of its helpers.
+    pub zones: Vec<ZoneName>,
 }
 
 impl OutgoingRequest {
@@ -61,7 +64,7 @@
     Responded(Box<EndpointResponse>),
     /// No byte of the request was sent, for this reason.
     NotSent(Reason),
-    /// No byte of the request was sent, since the endpoint's zone is drained.
+    /// No byte of the request was sent, since the zone of the endpoint or of a helper is drained.
     Withheld,
     /// The endpoint states that it did not run the request, with the status for the log.
     NotRun(Reason),
@@ -83,7 +86,7 @@
     let mut req = out.build();
     for _ in 0..MAX_IDLE_ATTEMPTS {
         // The zone may have been drained while helpers granted memory or a connection was made.
-        if gateway.is_zone_drained(endpoint) {
+        if gateway.is_any_drained(&out.zones) {
             return SendOutcome::Withheld;
         }
         let Some(conn) = gateway.pool.take(endpoint.addr) else { break };
@@ -102,7 +105,7 @@
             return SendOutcome::NotSent(Reason::detailed("cannot connect", e));
         }
     };
-    if gateway.is_zone_drained(endpoint) {
+    if gateway.is_any_drained(&out.zones) {
         gateway.pool.put(conn, None);
         return SendOutcome::Withheld;
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,7 +31,7 @@
 use crate::clock::boot_now;
 use crate::directory::EndpointId;
 use crate::event;
-use crate::ids::Moment;
+use crate::ids::{Moment, ZoneName};
 use crate::metrics::{ClassLabels, KindLabels, Metrics, RequestLabels};
 use crate::quarantine::Quarantine;
 use crate::wire::{self, Document, EndpointEvidence};
@@ -255,6 +255,12 @@
         self.zone_drains.lock().is_drained(&endpoint.zone)
     }
 
+    /// Whether one of these zones is drained.
+    pub fn is_any_drained(&self, zones: &[ZoneName]) -> bool {
+        let drains = self.zone_drains.lock();
+        zones.iter().any(|zone| drains.is_drained(zone))
+    }
+
     /// Whether all rules for probes allow a connection to this endpoint.
     pub fn may_probe(&self, endpoint: &Endpoint) -> bool {
         let entries = self.in_flight.lock().entry_count();
--- a/tests/guarantees.rs
+++ b/tests/guarantees.rs
@@ -310,6 +310,57 @@
     assert_eq!(load["running"].as_array().unwrap().len(), 0);
 }
 
+/// Guards against drains of zones that the product's own entries and agents do not follow.
+#[test]
+fn a_drained_zone_gets_no_new_work_until_it_returns() {
+    let env = TestEnv::start(SystemConfig { deadline_ms: 20_000, ..SystemConfig::default() });
+    let operators = env.operators();
+    // Most requests that were seen running at each engine at once, while 24 requests are served.
+    let ask_all = || {
+        let mut most = vec![0; env.stand_ins.len()];
+        std::thread::scope(|scope| {
+            let env = &env;
+            let call = move |n| env.complete(0, &format!("question {n}"), 60, true);
+            let tasks: Vec<_> = (0..24).map(|n| scope.spawn(move || call(n))).collect();
+            while !tasks.iter().all(|task| task.is_finished()) {
+                for (at, most) in most.iter_mut().enumerate() {
+                    let engine = env.stand_ins[at].address("engine-0");
+                    let load = env.get(engine, "/true-load").json();
+                    *most = load["running"].as_array().unwrap().len().max(*most);
+                }
+            }
+            for task in tasks {
+                let text = streamed_text(&task.join().unwrap().body).expect("served elsewhere");
+                check_tokens(&text, 60).unwrap();
+            }
+        });
+        most
+    };
+    let drain = |args: &[&str]| {
+        let all = [&["drain"], args, &["--operators", &operators]].concat();
+        let output = run(&all);
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    assert_eq!(drain(&["--zone", "z0", "--wait"]).0, Some(0));
+    assert_eq!(env.status()["drained_zones"], serde_json::json!(["z0"]));
+    let leaving = |zone: &str| {
+        let status = env.status();
+        let of_zone = status["endpoints"].as_array().unwrap().iter().filter(|e| e["zone"] == zone);
+        of_zone.map(|e| e["leaving"] == true).collect::<Vec<bool>>()
+    };
+    assert!(!leaving("z0").is_empty() && leaving("z0").iter().all(|l| *l), "{:?}", leaving("z0"));
+    assert!(leaving("z1").iter().all(|l| !*l));
+    let most = ask_all();
+    assert_eq!(most[0], 0, "requests ran in the drained zone: {most:?}");
+    assert!(most[1..].iter().sum::<usize>() > 0, "no request was seen running: {most:?}");
+    let (code, text) = drain(&["--zone", "nowhere"]);
+    assert!(code == Some(1) && text.contains("z0"), "{code:?} {text}");
+    assert_eq!(drain(&["h0", "--zone", "z0"]).0, Some(2), "both a host and a zone");
+    assert_eq!(drain(&[]).0, Some(2), "neither a host nor a zone");
+    assert_eq!(drain(&["--zone", "z0", "--undo"]).0, Some(0));
+    assert_eq!(env.status()["drained_zones"], serde_json::json!([]));
+}
+
 #[test]
 fn an_entry_that_is_told_to_stop_finishes_its_requests() {
     let mut env = TestEnv::start(SystemConfig { deadline_ms: 20_000, ..SystemConfig::default() });
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -101,6 +101,8 @@
     pub limits: Arc<Mutex<HashMap<String, f64>>>,
     /// Ids of reservations, their tokens, and when they expire.
     pub reservations: Arc<Mutex<Vec<(String, u64, Instant)>>>,
+    /// Time that servers take to answer a reservation.
+    pub reserve_delay: Arc<Mutex<Duration>>,
     /// Prompt part that crashes the servers that begin to answer a request with it.
     pub crashing_part: Arc<Mutex<Option<String>>>,
     /// Path that crashes the servers that begin to run a request to it.
@@ -600,6 +602,9 @@
 async fn handle_order(records: &Records, req: Request<Incoming>) -> Response<Body> {
     let body = req.into_body().collect().await.unwrap().to_bytes();
     let order: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    let delay =
+        if order["Op"] == "reserve" { *records.reserve_delay.lock() } else { Duration::ZERO };
+    tokio::time::sleep(delay).await;
     let id = order["Id"].as_str().unwrap_or_default().to_owned();
     let mut held = records.reservations.lock();
     match order["Op"].as_str() {
--- a/tests/platform/zone_drains.rs
+++ b/tests/platform/zone_drains.rs
@@ -192,6 +192,38 @@
     assert!(ids.iter().any(in_zone), "no request ran in the zone");
 }
 
+/// Guards against a request that is sent into a zone, to an engine or a helper, after the zone was drained
+/// while the request waited for memory; and against memory that stays reserved there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_waits_for_memory_is_not_sent_into_a_zone_drained_meanwhile() {
+    let fixture = Fixture::start(1, 1).await;
+    fixture.wait_used(0, "engine-zone-b").await;
+    *fixture.records.reserve_delay.lock() = Duration::from_millis(500);
+    for zone in ["zone-b", "zone-c"] {
+        let req = ask("/ask/x", 460_000);
+        let id = id_of(&req);
+        let drain = async {
+            wait_until("a reservation under way", async || {
+                !fixture.nodes.entries[0]
+                    .log_lines("E613")
+                    .iter()
+                    .all(|l| l["request"] != id.as_str())
+            })
+            .await;
+            fixture.nodes.order_drain(0, "POST", zone).await;
+        };
+        let ((status, _, body), ()) = tokio::join!(fixture.nodes.send(0, req), drain);
+        assert_eq!(status, 503, "{zone}: {body:?}");
+        assert!(fixture.records.of(&id).is_empty(), "{zone}: sent with a part in a drained zone");
+        wait_until("the release", async || fixture.records.reservations.lock().is_empty()).await;
+        fixture.nodes.order_drain(0, "DELETE", zone).await;
+        tokio::time::sleep(FORCE_TARGET).await;
+    }
+    *fixture.records.reserve_delay.lock() = Duration::ZERO;
+    let (status, ..) = fixture.nodes.send(0, ask("/ask/x", 460_000)).await;
+    assert_eq!(status, 200, "both zones are in service");
+}
+
 /// Guards against an order that is lost, or refused when repeated, after the leader died.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leader_that_dies_between_commit_and_answer_loses_no_order() {
