Give most of the memory budget to large bodies

Cause: answers without room are passed on as they arrive, bodies without room are refused; yet both had the same share, and 55 of 60 bodies of 4 MiB were refused at a peak of 43 MB of 160.

Change: large bodies have five twelfths, answers of a usual size one, larger ones two.

--- a/src/gateway/memory_budget.rs
+++ b/src/gateway/memory_budget.rs
@@ -18,7 +18,7 @@
 
 /// Minimum size of the budget in bytes; one body and one answer of the default maximum size then fit
 /// into their shares.
-const MIN_BUDGET_BYTES: u64 = 16 * 1024 * 1024;
+const MIN_BUDGET_BYTES: u64 = 24 * 1024 * 1024;
 
 /// Size up to which a body or an answer counts as one of the usual size, in bytes. Larger ones have
 /// shares of their own, so that they neither refuse nor delay those of the usual size.
@@ -71,11 +71,13 @@
         }
     }
 
-    /// Share of the budget, in twelfths.
+    /// Share of the budget, in twelfths. Answers need the least, because those without room are passed
+    /// on as they arrive; a body without room is refused.
     fn share_twelfths(self) -> u64 {
         match self {
-            Self::Body | Self::Answer | Self::Stream => 2,
-            Self::LargeBody | Self::LargeAnswer => 3,
+            Self::Answer => 1,
+            Self::Body | Self::LargeAnswer | Self::Stream => 2,
+            Self::LargeBody => 5,
         }
     }
 
@@ -93,7 +95,7 @@
 /// use bitternlead::gateway::memory_budget::budget_bytes;
 ///
 /// assert_eq!(budget_bytes(160_000_000), 96_000_000);
-/// assert_eq!(budget_bytes(50_000_000), 16 * 1024 * 1024, "never less than this");
+/// assert_eq!(budget_bytes(50_000_000), 24 * 1024 * 1024, "never less than this");
 /// ```
 pub fn budget_bytes(memory_limit: u64) -> u64 {
     memory_limit.saturating_sub(PROCESS_RESERVE_BYTES).max(MIN_BUDGET_BYTES)
@@ -114,9 +116,9 @@
 /// ```
 /// use bitternlead::gateway::memory_budget::{BudgetState, HeldKind};
 ///
-/// let mut budget = BudgetState::new(Some(600));
+/// let mut budget = BudgetState::new(Some(1200));
 /// assert!(budget.try_charge(HeldKind::Answer, 90));
-/// assert!(!budget.try_charge(HeldKind::Answer, 20), "its share is a sixth");
+/// assert!(!budget.try_charge(HeldKind::Answer, 20), "its share is a twelfth");
 /// let waiter = budget.enqueue(HeldKind::Answer, 20).unwrap();
 /// assert_eq!(budget.release(HeldKind::Answer, 90), [waiter]);
 /// assert_eq!(budget.held(HeldKind::Answer), 20);
