Take only refused connections as shared evidence of an unreachable endpoint

Cause: any failed connection was reported as a refusal. Entries that are cut off from a zone would have taken its endpoints from entries that reach them.

Change: SendOutcome::Refused tells a connection that the host refused from one that got no answer; only the former is reported. An endpoint is not avoided on evidence from before this entry's own last success there.

--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -168,6 +168,7 @@
             }
             SendOutcome::Withheld => {}
             SendOutcome::NotSent(_) => health.record_unreachable(now, &endpoint.id),
+            SendOutcome::Refused(_) => health.record_refused(now, &endpoint.id),
             SendOutcome::NotRun(_) => {
                 self.sends += 1;
                 // An endpoint that named a time is known to take requests after it.
--- a/src/gateway/eligibility/health.rs
+++ b/src/gateway/eligibility/health.rs
@@ -38,6 +38,9 @@
     /// Sends and failures, weighted by age like the failure rate.
     sends: f64,
     failures: f64,
+    /// Until when a refused connection keeps the endpoint from being sent to.
+    refused_until: Moment,
+    succeeded_at: Moment,
 }
 
 /// What this entry observed of an endpoint, as of the last observation.
@@ -53,8 +56,8 @@
     pub sends: f64,
     /// Excess over the predicted time, as a fraction of that.
     pub slowness: f64,
-    /// When the endpoint may be sent to again.
-    pub available_at: Moment,
+    /// Until when the endpoint gets no requests because it refused a connection or wants none.
+    pub refused_until: Moment,
 }
 
 /// Weighted number of failures from which this entry counts as having seen one. One failure counts
@@ -72,6 +75,7 @@
     pub fn record_success(&mut self, now: Moment, id: &EndpointId, slowness: Option<f64>) {
         let health = self.decay(now, id);
         health.sends += 1.0;
+        health.succeeded_at = now;
         health.failure_rate *= 1.0 - SAMPLE_WEIGHT;
         health.failed_connects = 0;
         if let Some(observed) = slowness {
@@ -91,13 +95,21 @@
     /// Records a failed connection and starts the backoff.
     pub fn record_unreachable(&mut self, now: Moment, id: &EndpointId) {
         let health = self.decay(now, id);
-        health.sends += 1.0;
-        health.failures += 1.0;
         let backoff = INITIAL_BACKOFF * 2u32.pow(health.failed_connects.min(3));
         health.failed_connects += 1;
         health.retry_at = now + backoff.min(MAX_BACKOFF);
     }
 
+    /// Records a connection that the endpoint's host refused, and starts the backoff. Unlike other
+    /// failed connections, which may be due to the path from this entry, it shows that nothing listens.
+    pub fn record_refused(&mut self, now: Moment, id: &EndpointId) {
+        self.record_unreachable(now, id);
+        let health = self.decay(now, id);
+        health.sends += 1.0;
+        health.failures += 1.0;
+        health.refused_until = health.retry_at;
+    }
+
     /// Records that the endpoint wants no requests for a time, and returns the time for which it
     /// gets none.
     pub fn record_named_time(&mut self, now: Moment, id: &EndpointId, named: Duration) -> Duration {
@@ -138,6 +150,11 @@
         })
     }
 
+    /// When a send of this entry last succeeded; zero if none did.
+    pub fn succeeded_at(&self, id: &EndpointId) -> Moment {
+        self.records.get(id).map_or(Moment::ZERO, |r| r.succeeded_at)
+    }
+
     /// What was observed of each endpoint that was sent to.
     pub fn observations(&self) -> impl Iterator<Item = Observation> {
         self.records.iter().map(|(id, r)| Observation {
@@ -146,7 +163,7 @@
             failures: r.failures,
             sends: r.sends,
             slowness: r.slowness,
-            available_at: r.retry_at.max(r.unwilling_until),
+            refused_until: r.refused_until.max(r.unwilling_until),
         })
     }
 
--- a/src/gateway/eligibility/pooled_evidence.rs
+++ b/src/gateway/eligibility/pooled_evidence.rs
@@ -77,9 +77,12 @@
 ///     endpoint: "engine-1".into(), failures: 3, sends: 3, refused_for_ms: 800, ..Default::default()
 /// };
 /// pooled.apply_report(now, "entry-1", &[evidence.clone()]);
-/// assert_eq!(pooled.avoided_until(now, &id, false), None, "one entry alone");
+/// let avoided_until = |pooled: &PooledEvidence| {
+///     pooled.avoided_until(now, &id, false, Duration::ZERO)
+/// };
+/// assert_eq!(avoided_until(&pooled), None, "one entry alone");
 /// pooled.apply_report(now, "entry-2", &[evidence]);
-/// assert_eq!(pooled.avoided_until(now, &id, false), Some(now + Duration::from_millis(800)));
+/// assert_eq!(avoided_until(&pooled), Some(now + Duration::from_millis(800)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct PooledEvidence {
@@ -118,7 +121,7 @@
         }
         let is_reported = |o: &Observation| {
             let is_bad =
-                o.failures >= 0.5 || o.slowness >= MIN_REPORTED_SLOWNESS || o.available_at > now;
+                o.failures >= 0.5 || o.slowness >= MIN_REPORTED_SLOWNESS || o.refused_until > now;
             is_bad && now.saturating_sub(o.observed_at) < MAX_REPORTED_AGE
         };
         let mut observed: Vec<Observation> = health.observations().filter(is_reported).collect();
@@ -145,7 +148,7 @@
             let Some((id, start)) = known.map(|(id, start)| (id.clone(), *start)) else {
                 continue;
             };
-            let was_avoided = self.avoided_until(now, &id, false).is_some();
+            let was_avoided = self.avoided_until(now, &id, false, Moment::ZERO).is_some();
             let decoded = decode(evidence, now);
             let of_endpoint = self.reports.entry(id.clone()).or_default();
             let is_newer =
@@ -153,7 +156,7 @@
             if decoded.observed_at >= start.known_since && is_newer {
                 of_endpoint.insert(SmolStr::new(node), decoded);
             }
-            let until = self.avoided_until(now, &id, false).filter(|_| !was_avoided);
+            let until = self.avoided_until(now, &id, false, Moment::ZERO).filter(|_| !was_avoided);
             avoided.extend(until.map(|until| (id, until.saturating_sub(now))));
         }
         avoided
@@ -193,15 +196,18 @@
     }
 
     /// Until when an endpoint is avoided, because at least two entries, this one included, see that it
-    /// takes no requests; `None` if it is not avoided.
+    /// takes no requests; `None` if it is not avoided. What was observed before this entry's own last
+    /// success, at `succeeded_at`, does not count.
     pub fn avoided_until(
         &self,
         now: Moment,
         id: &EndpointId,
         has_own_failure: bool,
+        succeeded_at: Moment,
     ) -> Option<Moment> {
         let of_endpoint = self.reports.get(id)?;
-        let mut times: Vec<Moment> = of_endpoint.values().map(|e| e.refused_until).collect();
+        let newer = of_endpoint.values().filter(|e| e.observed_at >= succeeded_at);
+        let mut times: Vec<Moment> = newer.map(|e| e.refused_until).collect();
         times.sort_unstable();
         believed(&times, has_own_failure).last().copied().filter(|until| *until > now)
     }
@@ -233,7 +239,7 @@
         failures: o.failures.round() as u32,
         sends: o.sends.round() as u32,
         slowness_percent: (o.slowness * 100.0) as u32,
-        refused_for_ms: o.available_at.saturating_sub(now).as_millis() as u32,
+        refused_for_ms: o.refused_until.saturating_sub(now).as_millis() as u32,
     }
 }
 
@@ -259,8 +265,12 @@
 
 impl EligibilityRule for EvidenceRule {
     fn check(&self, cx: &SendContext, endpoint: &Endpoint) -> Eligibility {
-        let has_own_failure = self.health.lock().has_failure(cx.now, &endpoint.id);
-        match self.pooled.lock().avoided_until(cx.now, &endpoint.id, has_own_failure) {
+        let health = self.health.lock();
+        let has_own_failure = health.has_failure(cx.now, &endpoint.id);
+        let succeeded_at = health.succeeded_at(&endpoint.id);
+        drop(health);
+        let pooled = self.pooled.lock();
+        match pooled.avoided_until(cx.now, &endpoint.id, has_own_failure, succeeded_at) {
             Some(until) => Eligibility::Until(until),
             None => Eligibility::Allowed,
         }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -104,7 +104,7 @@
                 }
             },
             SendOutcome::Withheld => continue,
-            SendOutcome::NotSent(reason) => {
+            SendOutcome::NotSent(reason) | SendOutcome::Refused(reason) => {
                 failed_connects += 1;
                 if failed_connects < MAX_FAILED_CONNECTS {
                     continue;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -66,6 +66,8 @@
     NotSent(Reason),
     /// No byte of the request was sent, since the zone of the endpoint or of a helper is drained.
     Withheld,
+    /// The endpoint's host refused the connection: nothing listens there. No byte was sent.
+    Refused(Reason),
     /// The endpoint states that it did not run the request, with the status for the log.
     NotRun(Reason),
     /// The request may have run; the reason tells why its outcome is unknown.
@@ -98,11 +100,14 @@
     let conn = match gateway.pool.connect(endpoint.addr).await {
         Ok(conn) => conn,
         Err(e) => {
-            // Nothing listens there: the endpoint has stopped, and will be cold after its start.
-            if e.kind() == ErrorKind::ConnectionRefused {
-                gateway.cold.lock().record_crash(boot_now(), &endpoint.id);
+            let is_refused = e.kind() == ErrorKind::ConnectionRefused;
+            let reason = Reason::detailed("cannot connect", e);
+            if !is_refused {
+                return SendOutcome::NotSent(reason);
             }
-            return SendOutcome::NotSent(Reason::detailed("cannot connect", e));
+            // Nothing listens there: the endpoint has stopped, and will be cold after its start.
+            gateway.cold.lock().record_crash(boot_now(), &endpoint.id);
+            return SendOutcome::Refused(reason);
         }
     };
     if gateway.is_any_drained(&out.zones) {
--- a/tests/pooled_evidence.rs
+++ b/tests/pooled_evidence.rs
@@ -61,7 +61,7 @@
         let now = ms(150 + report * 400);
         for n in 0..40 {
             assert_eq!(pooled.merge(now, &id(n), OWN, false), OWN);
-            assert_eq!(pooled.avoided_until(now, &id(n), false), None);
+            assert_eq!(pooled.avoided_until(now, &id(n), false, ms(0)), None);
         }
     }
     pooled.apply_report(ms(40_000), "honest", &[failed(0, 1, 10)]);
@@ -110,6 +110,7 @@
     health.lock().record_failure(ms(1100), &id(0));
     assert_eq!(check(ms(1200)), Eligibility::Until(ms(1800)), "this entry saw a failure too");
     assert_eq!(check(ms(1800)), Eligibility::Allowed);
+    health.lock().record_success(ms(9990), &id(0), None);
     let long = EndpointEvidence { refused_for_ms: 60_000, ..refusing };
     let mut avoided = vec![];
     for entry in ["entry-1", "entry-2", "entry-3"] {
@@ -119,9 +120,32 @@
     let once = [vec![], vec![(id(0), ms(5000))], vec![]];
     assert_eq!(avoided, once, "logged once, when the second entry reports it");
     assert_eq!(check(ms(10_000)), Eligibility::Until(ms(15_000)), "bounded");
+    health.lock().record_success(ms(11_000), &id(0), None);
+    assert_eq!(check(ms(11_000)), Eligibility::Allowed, "this entry saw a later success");
+    let newer = EndpointEvidence { refused_for_ms: 3000, ..long };
+    for entry in ["entry-1", "entry-2"] {
+        shared.lock().apply_report(ms(12_000), entry, std::slice::from_ref(&newer));
+    }
+    // The evidence of the third entry is older than the success.
+    assert_eq!(check(ms(12_000)), Eligibility::Until(ms(15_000)));
     assert_eq!(check(ms(15_000)), Eligibility::Allowed);
 }
 
+/// Guards against entries that are cut off from a zone and take its endpoints from all others: only a
+/// refused connection shows that nothing listens.
+#[test]
+fn connections_that_fail_on_the_way_are_no_evidence() {
+    let (mut health, mut own) = (Health::default(), PooledEvidence::default());
+    for n in 0..15 {
+        health.record_unreachable(ms(5000), &id(n));
+        assert!(!health.is_available(ms(5100), &id(n)), "it counts for this entry");
+    }
+    assert!(own.report(ms(5100), &health).is_empty());
+    health.record_refused(ms(5200), &id(3));
+    let report = own.report(ms(5300), &health);
+    assert_eq!((report.len(), report[0].failures, report[0].refused_for_ms), (1, 1, 700));
+}
+
 /// Guards against evidence that outlives what it was seen on.
 #[test]
 fn evidence_decays_and_ends() {
@@ -149,13 +173,13 @@
         for entry in ["entry-1", "entry-2"] {
             pooled.apply_report(now, entry, std::slice::from_ref(&aged));
         }
-        pooled.avoided_until(now, &id(0), false).is_some()
+        pooled.avoided_until(now, &id(0), false, ms(0)).is_some()
     };
     assert!(report(&mut pooled, ms(1000), 100));
     pooled.set_starts(ms(1100), [(&id(0), 1)]);
-    assert!(pooled.avoided_until(ms(1100), &id(0), false).is_some(), "the same start");
+    assert!(pooled.avoided_until(ms(1100), &id(0), false, ms(0)).is_some(), "the same start");
     pooled.set_starts(ms(1200), [(&id(0), 2)]);
-    assert_eq!(pooled.avoided_until(ms(1200), &id(0), false), None, "a later start");
+    assert_eq!(pooled.avoided_until(ms(1200), &id(0), false, ms(0)), None, "a later start");
     assert!(!report(&mut pooled, ms(1300), 200), "observed before that start was known");
     assert!(report(&mut pooled, ms(1400), 100), "observed after it");
     pooled.set_starts(ms(1500), []);
@@ -185,7 +209,8 @@
         health.record_success(ms(5000 + n), &id(100 + n as usize), Some(1.1));
     }
     health.record_named_time(ms(5200), &id(200), ms(3000));
-    health.record_unreachable(ms(5201), &id(201));
+    health.record_refused(ms(5201), &id(201));
+    health.record_unreachable(ms(5203), &id(203));
     for _ in 0..9 {
         health.record_success(ms(5202), &id(202), Some(4.0));
     }
