Encode a load report once for all entries

Each report encoded all sends of the entry, although peers rarely need them, and one datagram for each peer. Each datagram also carried all limits that endpoints name, which exceeds a datagram where thousands do.

Peers that get the same report now share its encoding; only the number is added for each. All sends are encoded only if a peer asked for them. A limit is reported for 300 ms after it changed and every 500 ms otherwise, at most 200 in a report, in turn.

--- a/benches/fleet_size.rs
+++ b/benches/fleet_size.rs
@@ -17,7 +17,6 @@
 use bitternlead::gateway::placement::{PlacementRequest, decide_among};
 use bitternlead::wire::{Announcement, SharedLoad, Standing};
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
-use prost::Message;
 use smol_str::SmolStr;
 
 /// Numbers of engines.
@@ -174,15 +173,14 @@
         let template = report(0, 0, Vec::new(), Vec::new(), false);
         let mut previous = known.insert(send(0, 0));
         let all = known.encode_local(NOW);
-        peers.build_loads(&template, &known.take_changes(NOW), &all);
+        peers.send_loads(&template, known.take_changes(NOW), || all, |_, _| true);
         group.bench_function(BenchmarkId::from_parameter(size), |b| {
             b.iter(|| {
                 known.remove(NOW, previous);
                 previous = known.insert(send(0, 0));
                 let changes = known.take_changes(NOW);
-                let all = known.encode_local(NOW);
-                let loads = peers.build_loads(&template, &changes, &all);
-                loads.iter().map(|(_, load)| load.encode_to_vec().len()).sum::<usize>()
+                let all = || known.encode_local(NOW);
+                peers.send_loads(&template, changes, all, |_, data| !black_box(data).is_empty())
             });
         });
     }
--- a/src/gateway/eligibility/endpoint_limits.rs
+++ b/src/gateway/eligibility/endpoint_limits.rs
@@ -40,6 +40,15 @@
 /// Time constant of the mean rate of requests that could be sent to an endpoint.
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(1);
 
+/// Time for which each report repeats a change, so that one that is lost delays it little.
+const REPEAT_TIME: Duration = Duration::from_millis(300);
+
+/// Interval at which limits are reported that did not change, for entries that do not know them.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Maximum number of limits in one report, some 10 kB.
+const MAX_REPORTED: usize = 200;
+
 /// Time for which other entries are told that a limit has ended.
 const LIFTED_TTL: Duration = Duration::from_secs(5);
 
@@ -68,6 +77,8 @@
     stated_at: Moment,
     /// Time up to which the sends so far use up the rate.
     used_until: Moment,
+    /// When this entry last sent to the endpoint or learned of another limit.
+    changed_at: Moment,
     /// Sends of this entry.
     own_sends: u32,
     /// Sends of other entries, by node.
@@ -81,6 +92,7 @@
             per_s: None,
             stated_at: now,
             used_until: now,
+            changed_at: now,
             own_sends: 0,
             reported: HashMap::new(),
             demand: MeanRate::default(),
@@ -156,6 +168,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointLimits {
     states: HashMap<EndpointId, LimitState>,
+    /// When the limits that did not change were last reported.
+    refreshed_at: Moment,
+    /// Number of limits that earlier refreshes reported, all of them counted.
+    refreshed: usize,
 }
 
 impl EndpointLimits {
@@ -171,13 +187,18 @@
         }
         let state = self.states.entry(id.clone()).or_insert_with(|| LimitState::new(now));
         state.stated_at = now;
-        state.set(per_s)
+        let change = state.set(per_s);
+        if change.is_some() {
+            state.changed_at = now;
+        }
+        change
     }
 
     /// Counts a send of this entry.
     pub fn record_send(&mut self, now: Moment, id: &EndpointId) {
         if let Some(state) = self.states.get_mut(id) {
             state.own_sends = state.own_sends.wrapping_add(1);
+            state.changed_at = now;
             state.count_sends(now, 1);
         }
     }
@@ -202,13 +223,34 @@
         rng.random_range(0.0..1.0) * competing < tolerated
     }
 
-    /// Builds the report for other entries: the limits, and the sends of this entry.
-    pub fn report(&self, now: Moment) -> Vec<EndpointLimit> {
+    /// Builds the report for other entries: the limits and the sends of this entry that changed
+    /// lately, and every [`REFRESH_INTERVAL`] the others, at most [`MAX_REPORTED`] in total.
+    pub fn report(&mut self, now: Moment) -> Vec<EndpointLimit> {
+        let age = |at: Moment| now.saturating_sub(at);
+        let is_new = |state: &LimitState| age(state.changed_at) <= REPEAT_TIME;
+        let changed = self.states.iter().filter(|(_, state)| is_new(state));
+        let mut report: Vec<EndpointLimit> =
+            changed.take(MAX_REPORTED).map(|(id, state)| encode(id, state, now)).collect();
+        if age(self.refreshed_at) < REFRESH_INTERVAL || self.states.is_empty() {
+            return report;
+        }
+        self.refreshed_at = now;
+        // Starts after those of the last refresh, so that all are reported in turn.
+        let skipped = self.refreshed % self.states.len();
+        let in_turn = self.states.iter().cycle().skip(skipped).take(self.states.len());
         let is_reported = |state: &LimitState| {
-            state.per_s.is_some() || now.saturating_sub(state.stated_at) < LIFTED_TTL
+            !is_new(state) && (state.per_s.is_some() || age(state.stated_at) < LIFTED_TTL)
         };
-        let reported = self.states.iter().filter(|(_, state)| is_reported(state));
-        reported.map(|(id, state)| encode(id, state, now)).collect()
+        for (id, state) in in_turn {
+            if report.len() >= MAX_REPORTED {
+                break;
+            }
+            self.refreshed += 1;
+            if is_reported(state) {
+                report.push(encode(id, state, now));
+            }
+        }
+        report
     }
 
     /// Applies the report of another entry and returns the limits that changed.
--- a/src/gateway/load/load_exchange.rs
+++ b/src/gateway/load/load_exchange.rs
@@ -39,6 +39,12 @@
 /// Maximum number of sends in one datagram.
 const MAX_FLIGHTS_PER_DATAGRAM: usize = 200;
 
+/// Maximum size of the sends in one datagram in bytes; the rest is left to what else it carries.
+const MAX_FLIGHT_BYTES_PER_DATAGRAM: usize = 40_000;
+
+/// Bytes by which a send is longer within a datagram than alone.
+const FLIGHT_OVERHEAD_BYTES: usize = 4;
+
 /// Maximum size of a datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -100,22 +106,90 @@
         }
     }
 
-    /// Builds the datagrams for every peer: the changes, or all sends to those that need them.
-    pub fn build_loads(
+    /// Passes the datagrams for every peer to `send`: the changes, or all sends to those that need
+    /// them. Returns the number of bytes passed.
+    ///
+    /// What the datagrams of all peers have in common is encoded once, and `all` is called only if a
+    /// peer needs it. A peer for which `send` returns false gets all sends with the next datagram: it
+    /// would notice the loss only by the number of that.
+    pub fn send_loads(
         &self,
         template: &SharedLoad,
-        changes: &LoadChanges,
-        all: &[Flight],
-    ) -> Vec<(SocketAddr, SharedLoad)> {
+        changes: LoadChanges,
+        all: impl FnOnce() -> Vec<Flight>,
+        mut send: impl FnMut(SocketAddr, &[u8]) -> bool,
+    ) -> usize {
         let mut inner = self.inner.lock();
-        let mut loads = Vec::with_capacity(inner.peers.len());
-        for (addr, peer) in &mut inner.peers {
-            let built = build_loads_for(template, peer, changes, all);
-            loads.extend(built.into_iter().map(|load| (*addr, load)));
+        let PeersInner { peers, highest_seq, .. } = &mut *inner;
+        let needs_all = peers.values().any(|peer| peer.needs_all);
+        let needs_changes = peers.values().any(|peer| !peer.needs_all);
+        let all = needs_all.then(|| SharedLoad { flights: all(), ..template.clone() });
+        let mut all = all.map(encode_datagrams).unwrap_or_default();
+        let LoadChanges { flights, ended } = changes;
+        let changed = SharedLoad { flights, ended, partial: true, ..template.clone() };
+        let mut changed = if needs_changes { encode_datagrams(changed) } else { Vec::new() };
+        let mut sent_bytes = 0;
+        for (addr, peer) in peers {
+            let datagrams = if peer.needs_all { &mut all } else { &mut changed };
+            peer.needs_all = false;
+            for datagram in datagrams {
+                peer.seq += 1;
+                let data = datagram.numbered(peer.seq);
+                sent_bytes += data.len() + DATAGRAM_OVERHEAD_BYTES;
+                peer.needs_all |= !send(*addr, data);
+            }
+            *highest_seq = (*highest_seq).max(peer.seq);
+        }
+        sent_bytes
+    }
+}
+
+/// A datagram without its number, which differs between peers.
+struct EncodedLoad {
+    data: Vec<u8>,
+    common_len: usize,
+}
+
+impl EncodedLoad {
+    fn new(load: &SharedLoad) -> Self {
+        let data = load.encode_to_vec();
+        Self { common_len: data.len(), data }
+    }
+
+    /// The datagram with this number. Fields of a message may follow each other in any order.
+    fn numbered(&mut self, seq: u64) -> &[u8] {
+        self.data.truncate(self.common_len);
+        SharedLoad { seq, ..SharedLoad::default() }
+            .encode(&mut self.data)
+            .expect("a vector grows as needed");
+        &self.data
+    }
+}
+
+/// Encodes a load in as many datagrams as it needs. All but the first one only add flights to it.
+fn encode_datagrams(mut load: SharedLoad) -> Vec<EncodedLoad> {
+    let flights = std::mem::take(&mut load.flights);
+    let next = SharedLoad {
+        node: load.node.clone(),
+        incarnation: load.incarnation,
+        partial: true,
+        ..SharedLoad::default()
+    };
+    let mut datagrams = Vec::with_capacity(1);
+    let (mut current, mut bytes) = (load, 0);
+    for flight in flights {
+        let flight_bytes = flight.encoded_len() + FLIGHT_OVERHEAD_BYTES;
+        if current.flights.len() >= MAX_FLIGHTS_PER_DATAGRAM
+            || bytes + flight_bytes > MAX_FLIGHT_BYTES_PER_DATAGRAM
+        {
+            datagrams.push(EncodedLoad::new(&std::mem::replace(&mut current, next.clone())));
+            bytes = 0;
         }
-        inner.highest_seq = loads.iter().map(|(_, l)| l.seq).fold(inner.highest_seq, u64::max);
-        loads
+        bytes += flight_bytes;
+        current.flights.push(flight);
     }
+    datagrams.push(EncodedLoad::new(&current));
+    datagrams
 }
 
 impl PeersInner {
@@ -180,10 +254,7 @@
         let _ = timeout(KEEPALIVE_INTERVAL, gateway.load_changed.notified()).await;
         sleep(pacer.delay(boot_now())).await;
         let now = boot_now();
-        let (changes, all) = {
-            let mut in_flight = gateway.in_flight.lock();
-            (in_flight.take_changes(now), in_flight.encode_local(now))
-        };
+        let changes = gateway.in_flight.lock().take_changes(now);
         let evidence = gateway.report_evidence(now);
         let template = SharedLoad {
             node: gateway.cfg.node.to_string(),
@@ -192,44 +263,14 @@
             evidence,
             ..SharedLoad::default()
         };
-        let mut sent_bytes = 0;
-        for (addr, load) in peers.build_loads(&template, &changes, &all) {
-            let data = load.encode_to_vec();
-            sent_bytes += data.len() + DATAGRAM_OVERHEAD_BYTES;
-            // The receiver would notice the loss only by the number of the next datagram.
-            if socket.try_send_to(&data, addr).is_err() {
-                peers.request_all(addr);
-            }
-        }
+        // Sends that were added meanwhile are listed, and reported again with the next changes.
+        let all = || gateway.in_flight.lock().encode_local(now);
+        let send = |addr, data: &[u8]| socket.try_send_to(data, addr).is_ok();
+        let sent_bytes = peers.send_loads(&template, changes, all, send);
         pacer.record(now, sent_bytes);
     }
 }
 
-fn build_loads_for(
-    template: &SharedLoad,
-    peer: &mut Peer,
-    changes: &LoadChanges,
-    all: &[Flight],
-) -> Vec<SharedLoad> {
-    let needs_all = std::mem::take(&mut peer.needs_all);
-    let flights = if needs_all { all } else { &changes.flights };
-    let chunk_count = flights.len().div_ceil(MAX_FLIGHTS_PER_DATAGRAM).max(1);
-    let chunk = |number: usize| {
-        let rest = &flights[number * MAX_FLIGHTS_PER_DATAGRAM..];
-        let is_first = number == 0;
-        peer.seq += 1;
-        SharedLoad {
-            seq: peer.seq,
-            partial: !(needs_all && is_first),
-            flights: rest[..rest.len().min(MAX_FLIGHTS_PER_DATAGRAM)].to_vec(),
-            ended: if is_first && !needs_all { changes.ended.clone() } else { Vec::new() },
-            evidence: if is_first { template.evidence.clone() } else { Vec::new() },
-            ..template.clone()
-        }
-    };
-    (0..chunk_count).map(chunk).collect()
-}
-
 /// Receives the load of other entries and their requests for all sends.
 pub async fn receive_load(
     gateway: Arc<Gateway>,
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -136,3 +136,27 @@
     limits.apply_report(later, "entry-1", 2, &report(2));
     assert!(!limits.may_send(later, &id, 2, &mut rng), "the sends of the new run count");
 }
+
+/// Guards the size of reports where many endpoints name limits: what did not change must not be
+/// repeated with each report, and still reach an entry that knows nothing within some seconds.
+#[test]
+fn reports_of_many_limits_are_bounded_and_complete_in_turn() {
+    let (mut limits, mut other) = (EndpointLimits::default(), EndpointLimits::default());
+    let start = Duration::from_secs(100);
+    for n in 0..1_000 {
+        limits.record_response(start, &EndpointId::new(format!("i-{n}")), Some(2.0));
+    }
+    let mut known = std::collections::HashSet::new();
+    for ms in (400..4_000).step_by(100) {
+        let now = start + Duration::from_millis(ms);
+        limits.record_send(now, &EndpointId::new("i-7"));
+        let report = limits.report(now);
+        assert!(report.len() <= 200, "{} limits", report.len());
+        assert!(report.iter().any(|limit| limit.endpoint == "i-7"), "changes come at once");
+        let changes = other.apply_report(now, "entry-1", 1, &report);
+        known.extend(changes.into_iter().map(|(id, _)| id));
+    }
+    assert_eq!(known.len(), 1_000);
+    let quiet = limits.report(start + Duration::from_millis(3_950));
+    assert!(quiet.len() < 5, "{} limits that did not change", quiet.len());
+}
--- a/tests/load_exchange.rs
+++ b/tests/load_exchange.rs
@@ -43,6 +43,27 @@
     }
 }
 
+/// The loads for all peers, as they decode them.
+fn build_loads(
+    peers: &LoadPeers,
+    own: &InFlightSends,
+    changes: LoadChanges,
+    now: Duration,
+) -> Vec<(SocketAddr, SharedLoad)> {
+    let mut loads = Vec::new();
+    peers.send_loads(
+        &template(),
+        changes,
+        || own.encode_local(now),
+        |addr, data| {
+            assert!(data.len() < 60_000, "a datagram of {} bytes", data.len());
+            loads.push((addr, SharedLoad::decode(data).unwrap()));
+            true
+        },
+    );
+    loads
+}
+
 fn template() -> SharedLoad {
     SharedLoad { node: "entry-1".into(), incarnation: 7, ..SharedLoad::default() }
 }
@@ -88,8 +109,7 @@
         let mut keys: Vec<SendKey> = Vec::new();
         let report = |own: &mut InFlightSends, other: &mut InFlightSends, lost: bool| {
             let changes = own.take_changes(ms(5));
-            let all = own.encode_local(ms(5));
-            for (_, load) in peers.build_loads(&template(), &changes, &all) {
+            for (_, load) in build_loads(&peers, own, changes, ms(5)) {
                 if !lost && other.apply_report(ms(6), load) == ReportOutcome::Incomplete {
                     peers.request_all(address(2));
                 }
@@ -122,8 +142,7 @@
     peers.replace(address(9), &listed(&[2]), address(1));
     let exchange = |own: &mut InFlightSends, other: &mut InFlightSends| {
         let changes = own.take_changes(ms(5));
-        let all = own.encode_local(ms(5));
-        for (_, load) in peers.build_loads(&template(), &changes, &all) {
+        for (_, load) in build_loads(&peers, own, changes, ms(5)) {
             other.apply_report(ms(6), load);
         }
     };
@@ -173,8 +192,7 @@
         if due && now >= next_at {
             due = false;
             let changes = own.take_changes(ms(now));
-            let all = own.encode_local(ms(now));
-            let loads = peers.build_loads(&template(), &changes, &all);
+            let loads = build_loads(&peers, &own, changes, ms(now));
             let sent: usize = loads.iter().map(|(_, l)| l.encoded_len() + 28).sum();
             pacer.record(ms(now), sent);
             next_at = now + pacer.delay(ms(now)).as_millis() as u64;
@@ -194,13 +212,14 @@
     peers.replace(address(200), &listed(&all_entries), address(1));
     let mut own = InFlightSends::default();
     own.insert(send(1));
-    peers.build_loads(&template(), &own.take_changes(ms(1_000)), &own.encode_local(ms(1_000)));
+    let changes = own.take_changes(ms(1_000));
+    build_loads(&peers, &own, changes, ms(1_000));
     let mut pacer = SendPacer::new(LINK_BYTES_PER_S * 0.1);
     for send in shared_prompt(2) {
         own.insert(send);
     }
     let changes = own.take_changes(ms(2_000));
-    let loads = peers.build_loads(&template(), &changes, &[]);
+    let loads = build_loads(&peers, &own, changes, ms(2_000));
     let bytes: usize = loads.iter().map(|(_, l)| l.encoded_len() + 28).sum();
     pacer.record(ms(2_000), bytes);
     assert!(pacer.delay(ms(2_020)) <= ms(10), "{:?}", pacer.delay(ms(2_020)));
@@ -389,3 +408,55 @@
     known.expire(ms(9_000));
     assert_eq!((known.all().count(), known.count_at("e0")), (0, 0));
 }
+
+/// Guards the bound on datagrams: 300 long prompts with 17 engines each don't fit into one, and the
+/// receiver must know all of them after the last.
+#[test]
+fn many_shared_prompts_arrive_in_datagrams_of_bounded_size() {
+    let (mut own, mut other) = (InFlightSends::default(), InFlightSends::default());
+    let peers = LoadPeers::default();
+    peers.replace(address(9), &listed(&[2, 3]), address(1));
+    for n in 0..300 {
+        for send in shared_prompt(n) {
+            own.insert(send);
+        }
+    }
+    for _ in 0..2 {
+        let changes = own.take_changes(ms(5));
+        for (_, load) in
+            build_loads(&peers, &own, changes, ms(5)).into_iter().filter(|l| l.0 == address(2))
+        {
+            assert_eq!(other.apply_report(ms(6), load), ReportOutcome::Applied);
+        }
+        assert_eq!(hashes(&own), hashes(&other));
+        for send in shared_prompt(400) {
+            own.insert(send);
+        }
+    }
+}
+
+#[test]
+fn a_peer_whose_datagram_was_not_sent_gets_all_sends_with_the_next() {
+    let mut own = InFlightSends::default();
+    let peers = LoadPeers::default();
+    peers.replace(address(9), &listed(&[2, 3]), address(1));
+    let mut send_all = |is_sent: bool| {
+        own.insert(send(1));
+        let (changes, mut sizes) = (own.take_changes(ms(5)), Vec::new());
+        peers.send_loads(
+            &template(),
+            changes,
+            || own.encode_local(ms(5)),
+            |addr, data| {
+                sizes.push((addr, SharedLoad::decode(data).unwrap().flights.len()));
+                is_sent || addr == address(3)
+            },
+        );
+        sizes.sort_unstable();
+        sizes.into_iter().map(|(_, flights)| flights).collect::<Vec<_>>()
+    };
+    assert_eq!(send_all(true), [1, 1]);
+    assert_eq!(send_all(false), [1, 1]);
+    assert_eq!(send_all(true), [3, 1]);
+    assert_eq!(send_all(true), [1, 1]);
+}
