Make announcements cheap at control and at entries

Each announcement was compared with all known endpoints and copied three times, each change was a message of its own to each subscriber, and an entry merged all reports of all replicas for each update. 3,000 endpoints that announced themselves at once overflowed the queue of each subscriber, which was disconnected and started over.

The directory has an index by address, and an announcement that changes nothing is compared in place. Relays to another replica are gathered for 15 ms and share a write; the messages are the same. Changes of endpoints are gathered for 20 ms. A subscriber gets the load addresses with its first update; the others get a list 25 ms after a change and then at most one for each ms and subscriber. Entries follow single changes of up to 64 endpoints; whole lists are still merged anew.

A proptest checks that lists that follow single changes equal those that are derived from all reports.

--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -1,7 +1,7 @@
 //! Publishes updates to subscribers: the configuration document, drained zones, announced endpoints,
 //! replicas and the load addresses of the other subscribers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +37,15 @@
 /// once after a restart.
 const LOAD_ADDRESSES_DELAY: Duration = Duration::from_millis(25);
 
+/// Minimum time between two lists of load addresses for each subscriber that gets them. A list
+/// grows with the number of subscribers, so that the start of hundreds of them would otherwise take
+/// all of a host's processor.
+const LOAD_ADDRESSES_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Delay in which changes of endpoints are combined, since all of them announce themselves at once
+/// after a restart. Entries have to know of a change within 100 ms.
+const ENDPOINTS_DELAY: Duration = Duration::from_millis(20);
+
 /// Size of the parts in which documents are sent, in bytes. Announcements that are queued meanwhile
 /// wait for one part, not for the document.
 const DOCUMENT_PART_BYTES: usize = 32 * 1024;
@@ -99,6 +108,8 @@
     quarantine: Quarantine,
     subscribers: BTreeMap<u64, Subscriber>,
     recent: RecentDocuments,
+    /// Endpoints that changed and were not sent to subscribers yet.
+    changed_endpoints: HashMap<String, Announcement>,
 }
 
 /// Endpoint directory and subscribers of one control replica.
@@ -107,6 +118,7 @@
     published: watch::Receiver<Published>,
     relay: mpsc::UnboundedSender<Announcement>,
     endpoints_changed: Notify,
+    endpoints_to_send: Notify,
     quarantine_changed: Notify,
     load_addresses_changed: Notify,
     log: Logger,
@@ -131,6 +143,7 @@
             published,
             relay,
             endpoints_changed: Notify::new(),
+            endpoints_to_send: Notify::new(),
             quarantine_changed: Notify::new(),
             load_addresses_changed: Notify::new(),
             log,
@@ -207,7 +220,7 @@
         }
     }
 
-    /// Logs changed endpoints and sends them to all subscribers.
+    /// Logs changed endpoints, and lets them be sent to all subscribers.
     fn publish(&self, announcements: Vec<Announcement>) {
         for announcement in &announcements {
             let standing = announcement.standing().as_str_name();
@@ -217,10 +230,43 @@
                 "cold_ms" => announcement.cold_ms);
         }
         self.endpoints_changed.notify_one();
-        let inner = self.inner.lock();
-        for subscriber in inner.subscribers.values() {
-            let announcements = announcements.clone();
-            subscriber.send(News { announcements, ..News::default() });
+        let changed = announcements.into_iter().map(|a| (a.id.clone(), a));
+        self.inner.lock().changed_endpoints.extend(changed);
+        self.endpoints_to_send.notify_one();
+    }
+
+    /// Sends changed endpoints to all subscribers, those of [`ENDPOINTS_DELAY`] together, until
+    /// cancelled.
+    async fn send_endpoints(self: Arc<Self>, cx: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = cx.cancelled() => return,
+                () = self.endpoints_to_send.notified() => {}
+            }
+            sleep(ENDPOINTS_DELAY).await;
+            let mut inner = self.inner.lock();
+            let changed = std::mem::take(&mut inner.changed_endpoints);
+            let changed: Vec<Announcement> = changed.into_values().collect();
+            for subscriber in inner.subscribers.values() {
+                subscriber.send(News { announcements: changed.clone(), ..News::default() });
+            }
+        }
+    }
+
+    /// Sends the load addresses to all subscribers when they have changed, until cancelled.
+    async fn send_load_addresses(self: Arc<Self>, cx: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = cx.cancelled() => return,
+                () = self.load_addresses_changed.notified() => {}
+            }
+            sleep(LOAD_ADDRESSES_DELAY).await;
+            let subscribers = {
+                let inner = self.inner.lock();
+                publish_load_addresses(&inner);
+                inner.subscribers.len() as u32
+            };
+            sleep(LOAD_ADDRESSES_INTERVAL * subscribers).await;
         }
     }
 
@@ -240,7 +286,10 @@
             tx,
             cx: conn.cx.clone(),
         };
+        let load_addresses = load_addresses(inner.subscribers.values().chain([&subscriber]));
         let initial = News {
+            load_addresses,
+            load_addresses_changed: true,
             announcements: inner.directory.announcements(boot_now()),
             full: true,
             quarantine: Some(inner.quarantine.report_all(boot_now())),
@@ -282,6 +331,8 @@
     /// Publishes changes of the document, the drained zones and the membership, and checks for silent endpoints,
     /// until cancelled.
     pub async fn run(self: Arc<Self>, cx: CancellationToken) {
+        tokio::spawn(Arc::clone(&self).send_endpoints(cx.clone()));
+        tokio::spawn(Arc::clone(&self).send_load_addresses(cx.clone()));
         let mut published = self.published.clone();
         let mut sweep = tokio::time::interval(SILENCE_CHECK_INTERVAL);
         sweep.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -295,10 +346,6 @@
                     let state = published.borrow_and_update().clone();
                     self.publish_state(&state);
                 }
-                () = self.load_addresses_changed.notified() => {
-                    sleep(LOAD_ADDRESSES_DELAY).await;
-                    publish_load_addresses(&self.inner.lock());
-                }
                 _ = sweep.tick() => {
                     let silent = self.inner.lock().directory.mark_silent(boot_now());
                     if !silent.is_empty() {
@@ -323,10 +370,15 @@
     }
 }
 
+/// Addresses at which these subscribers receive the load of others.
+fn load_addresses<'a>(subscribers: impl Iterator<Item = &'a Subscriber>) -> Vec<String> {
+    let addresses = subscribers.map(|s| s.load_address.clone());
+    addresses.filter(|address| !address.is_empty()).collect()
+}
+
 /// Sends the load addresses of all subscribers to each of them.
 fn publish_load_addresses(inner: &Inner) {
-    let addresses = inner.subscribers.values().map(|s| s.load_address.clone());
-    let addresses: Vec<String> = addresses.filter(|a| !a.is_empty()).collect();
+    let addresses = load_addresses(inner.subscribers.values());
     for subscriber in inner.subscribers.values() {
         subscriber.send(News {
             load_addresses: addresses.clone(),
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -379,6 +379,14 @@
     Core::new(core_cfg, own, raft, opened.store, state.unwrap_or_default(), peers, log.clone())
 }
 
+/// Time for which announcements to another replica are gathered, so that they share a write. It is
+/// part of the time in which a change of an endpoint's state reaches all entries.
+const RELAY_DELAY: Duration = Duration::from_millis(15);
+
+/// Number of announcements that may be queued for one replica: those that 3,000 endpoints send to one
+/// replica within 100 ms.
+const MAX_QUEUED_RELAYS: usize = 256;
+
 /// Forwards announcements to all other replicas, with one task and link for each.
 ///
 /// Announcements that find a full queue or no connection are dropped; endpoints repeat them.
@@ -393,11 +401,12 @@
         std::collections::HashMap::new();
     while let Some(announcement) = rx.recv().await {
         let received_at = boot_now();
-        let replicas = published.borrow().replicas.clone();
+        let published = published.borrow();
+        let replicas = &published.replicas;
         links.retain(|address, _| replicas.iter().any(|r| r.address == *address));
         for replica in replicas.iter().filter(|r| r.address != own) {
             let tx = links.entry(replica.address.clone()).or_insert_with(|| {
-                let (tx, rx) = mpsc::channel(256);
+                let (tx, rx) = mpsc::channel(MAX_QUEUED_RELAYS);
                 if let Ok(addr) = replica.address.parse() {
                     tokio::spawn(relay_to_replica(addr, rx, cfg.clone(), cx.clone()));
                 }
@@ -419,9 +428,13 @@
         if link.as_ref().is_none_or(|l| l.is_closed()) {
             link = Link::connect(addr, &cfg, &cx).await.ok();
         }
-        if let Some(link) = &link {
+        let Some(link) = &link else { continue };
+        sleep(RELAY_DELAY).await;
+        let mut next = Some((received_at, announcement));
+        while let Some((received_at, announcement)) = next {
             let elapsed = boot_now().saturating_sub(received_at);
             link.try_send(Body::Announcement(age_cold_time(announcement, elapsed)));
+            next = rx.try_recv().ok();
         }
     }
 }
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -86,6 +86,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     endpoints: HashMap<EndpointId, EndpointRecord>,
+    /// Endpoints by the address of their latest announcement; mostly one for each address.
+    by_address: HashMap<SmolStr, Vec<EndpointId>>,
     silence_timeout: Duration,
 }
 
@@ -93,7 +95,7 @@
     /// Creates an empty directory; an endpoint without an announcement for `silence_timeout`
     /// becomes silent.
     pub fn new(silence_timeout: Duration) -> Self {
-        Self { endpoints: HashMap::new(), silence_timeout }
+        Self { silence_timeout, ..Self::default() }
     }
 
     /// Adds endpoints that an earlier run of this process knew. Each of them counts as silent
@@ -108,8 +110,9 @@
             let id = EndpointId::new(&announcement.id);
             // The time since the file was written is not known, so the cold time begins again.
             let silent_at = now + confirm_within;
-            let record = EndpointRecord { announcement, received_at: now, silent_at };
-            self.endpoints.entry(id).or_insert(record);
+            if !self.endpoints.contains_key(&id) {
+                self.insert(id, EndpointRecord { announcement, received_at: now, silent_at });
+            }
         }
     }
 
@@ -121,27 +124,27 @@
 
     /// Records an announcement that arrived at `now`, unless a newer one is known. Returns the
     /// announcements that changed, those of replaced endpoints included, or `None` without change.
+    ///
+    /// Most announcements change nothing. Those cost the same however many endpoints are known.
     pub fn record(&mut self, now: Moment, announcement: Announcement) -> Option<Vec<Announcement>> {
         if self.is_superseded(&announcement) {
             return None;
         }
         let mut changed = self.mark_address_replaced(&announcement);
-        let id = EndpointId::new(&announcement.id);
         let silent_at = now + self.silence_timeout;
-        match self.endpoints.get_mut(&id) {
+        if let Some(record) = self.endpoints.get_mut(announcement.id.as_str())
+            && !record.is_changed_by(now, &announcement)
+        {
             // The cold time stays the one that was published, so that small differences don't add
             // up without being noticed.
-            Some(record) if !record.is_changed_by(now, &announcement) => {
-                record.announcement.seq = announcement.seq;
-                record.silent_at = silent_at;
-            }
-            _ => {
-                changed.push(announcement.clone());
-                let record = EndpointRecord { announcement, received_at: now, silent_at };
-                self.endpoints.insert(id, record);
-            }
+            record.announcement.seq = announcement.seq;
+            record.silent_at = silent_at;
+            return (!changed.is_empty()).then_some(changed);
         }
-        (!changed.is_empty()).then_some(changed)
+        changed.push(announcement.clone());
+        let id = EndpointId::new(&announcement.id);
+        self.insert(id, EndpointRecord { announcement, received_at: now, silent_at });
+        Some(changed)
     }
 
     /// Marks an endpoint as gone after it has said so itself. `born` is the start that ended, if
@@ -170,10 +173,40 @@
             }
         }
         let max_silence = self.silence_timeout * 15;
-        self.endpoints.retain(|_, record| now < record.silent_at + max_silence);
+        let Self { endpoints, by_address, .. } = self;
+        endpoints.retain(|id, record| {
+            let is_kept = now < record.silent_at + max_silence;
+            if !is_kept {
+                remove_address(by_address, &record.announcement.address, id);
+            }
+            is_kept
+        });
         newly_silent
     }
 
+    /// Adds or replaces the record of an endpoint.
+    fn insert(&mut self, id: EndpointId, record: EndpointRecord) {
+        let address = SmolStr::new(&record.announcement.address);
+        let previous = self.endpoints.insert(id.clone(), record);
+        let previous = previous.map(|p| p.announcement.address);
+        if previous.as_deref() == Some(address.as_str()) {
+            return;
+        }
+        if let Some(previous) = previous {
+            remove_address(&mut self.by_address, &previous, &id);
+        }
+        self.by_address.entry(address).or_default().push(id);
+    }
+
+    /// Other endpoints whose latest announcement has the same address.
+    fn others_at<'a>(
+        &'a self,
+        announcement: &'a Announcement,
+    ) -> impl Iterator<Item = &'a EndpointId> {
+        let ids = self.by_address.get(announcement.address.as_str());
+        ids.into_iter().flatten().filter(|id| id.as_str() != announcement.id)
+    }
+
     /// Whether the directory holds a newer announcement of the endpoint, or a later start of
     /// another endpoint at its address.
     fn is_superseded(&self, announcement: &Announcement) -> bool {
@@ -185,32 +218,44 @@
                 || (announcement.born, announcement.seq)
                     <= (record.announcement.born, record.announcement.seq)
         });
-        let address_taken = self.endpoints.values().any(|record| {
-            record.announcement.address == announcement.address
-                && record.announcement.id != announcement.id
-                && record.announcement.born > announcement.born
-        });
-        outdated || address_taken
+        let mut others = self.others_at(announcement).filter_map(|id| self.endpoints.get(id));
+        outdated || others.any(|record| record.announcement.born > announcement.born)
     }
 
     /// Marks other endpoints at the announced address as gone and returns them.
     fn mark_address_replaced(&mut self, announcement: &Announcement) -> Vec<Announcement> {
+        let others: Vec<EndpointId> = self.others_at(announcement).cloned().collect();
         let mut replaced = Vec::new();
-        for record in self.endpoints.values_mut() {
-            let other = &mut record.announcement;
-            let same_address = other.address == announcement.address && other.id != announcement.id;
-            if same_address && other.standing() != Standing::Gone {
-                other.set_standing(Standing::Gone);
-                other.cold_ms = 0;
-                replaced.push(other.clone());
+        for id in others {
+            let Some(record) = self.endpoints.get_mut(&id) else { continue };
+            if record.announcement.standing() != Standing::Gone {
+                record.announcement.set_standing(Standing::Gone);
+                record.announcement.cold_ms = 0;
+                replaced.push(record.announcement.clone());
             }
         }
         replaced
     }
 }
 
+/// Whether two announcements differ in nothing but the sequence number and the cold time.
 fn equal_except_countdown(a: &Announcement, b: &Announcement) -> bool {
-    let compared =
-        |announcement: &Announcement| Announcement { seq: 0, cold_ms: 0, ..announcement.clone() };
-    compared(a) == compared(b)
+    let place = |a: &Announcement| (a.standing, a.born, a.slots);
+    place(a) == place(b)
+        && a.id == b.id
+        && a.service == b.service
+        && a.address == b.address
+        && a.zone == b.zone
+}
+
+fn remove_address(
+    by_address: &mut HashMap<SmolStr, Vec<EndpointId>>,
+    address: &str,
+    id: &EndpointId,
+) {
+    let Some(ids) = by_address.get_mut(address) else { return };
+    ids.retain(|other| other != id);
+    if ids.is_empty() {
+        by_address.remove(address);
+    }
 }
--- a/src/gateway/eligibility/endpoints.rs
+++ b/src/gateway/eligibility/endpoints.rs
@@ -1,6 +1,6 @@
 //! Endpoints that are ready for requests, as the control replicas report them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +15,10 @@
 /// replica is connected.
 const STALE_REPORT_TTL: Duration = Duration::from_secs(5);
 
+/// Number of announcements in an update from which on all endpoints are merged anew, since that is
+/// cheaper than a change of the lists for each.
+const MAX_SINGLE_CHANGES: usize = 64;
+
 /// An endpoint that is ready for requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Endpoint {
@@ -29,7 +33,7 @@
 }
 
 struct ReplicaReport {
-    announcements: HashMap<EndpointId, Announcement>,
+    announcements: HashMap<EndpointId, Arc<Announcement>>,
     lost_at: Option<Moment>,
 }
 
@@ -39,9 +43,12 @@
     reports: HashMap<String, ReplicaReport>,
     /// Endpoints that said in an answer that they leave, with the time of the start that said so.
     leaving: HashMap<EndpointId, u64>,
+    /// The announcement of each endpoint that takes precedence over those of other replicas.
+    newest: HashMap<EndpointId, Arc<Announcement>>,
+    /// Endpoints by the address of their newest announcement; mostly one for each address.
+    by_address: HashMap<SmolStr, Vec<EndpointId>>,
+    /// Ready endpoints by service, sorted by id.
     ready: HashMap<SmolStr, Arc<Vec<Endpoint>>>,
-    /// Times of the starts of the ready endpoints, as they announce them.
-    starts: HashMap<EndpointId, u64>,
 }
 
 impl Endpoints {
@@ -54,10 +61,20 @@
         if full {
             report.announcements.clear();
         }
+        let is_small = !full && announcements.len() <= MAX_SINGLE_CHANGES;
+        let mut ids = Vec::new();
         for announcement in announcements {
-            report.announcements.insert(EndpointId::new(&announcement.id), announcement);
+            let id = EndpointId::new(&announcement.id);
+            if is_small {
+                ids.push(id.clone());
+            }
+            report.announcements.insert(id, Arc::new(announcement));
+        }
+        if is_small {
+            ids.iter().for_each(|id| self.merge_one(id));
+        } else {
+            self.merge();
         }
-        self.merge();
     }
 
     /// Records that the connection to a control replica was lost.
@@ -92,7 +109,7 @@
         let born = announcements.map(|a| a.born).max().unwrap_or_default();
         let is_news = self.leaving.insert(id.clone(), born) != Some(born);
         if is_news {
-            self.merge();
+            self.merge_one(id);
         }
         is_news
     }
@@ -109,47 +126,132 @@
 
     /// Ready endpoints with the times of their starts.
     pub fn starts(&self) -> impl Iterator<Item = (&EndpointId, u64)> {
-        self.starts.iter().map(|(id, born)| (id, *born))
+        let ready = self.ready.values().flat_map(|of_service| of_service.iter());
+        ready.filter_map(|e| Some((&e.id, self.newest.get(&e.id)?.born)))
     }
 
     /// Whether an endpoint is ready.
     pub fn is_ready(&self, id: &str) -> bool {
-        self.ready.values().any(|of_service| of_service.iter().any(|e| e.id == id))
+        self.ready.values().any(|of_service| find(of_service, id).is_ok())
     }
 
+    /// Derives the ready endpoints from all reports.
     fn merge(&mut self) {
-        let mut newest: HashMap<&str, &Announcement> = HashMap::new();
+        self.newest.clear();
         for announcement in self.reports.values().flat_map(|r| r.announcements.values()) {
-            let current = newest.entry(announcement.id.as_str()).or_insert(announcement);
+            let id = EndpointId::new(&announcement.id);
+            let current = self.newest.entry(id).or_insert_with(|| Arc::clone(announcement));
             if precedence(announcement) > precedence(current) {
-                *current = announcement;
+                *current = Arc::clone(announcement);
             }
         }
-        self.leaving.retain(|id, born| newest.get(id.as_str()).is_some_and(|a| a.born <= *born));
-        let mut by_address: HashMap<&str, &Announcement> = HashMap::new();
-        for announcement in newest.into_values() {
-            let current = by_address.entry(announcement.address.as_str()).or_insert(announcement);
-            if announcement.born > current.born {
-                *current = announcement;
-            }
+        let newest = &self.newest;
+        self.leaving.retain(|id, born| newest.get(id).is_some_and(|a| a.born <= *born));
+        self.by_address.clear();
+        for (id, announcement) in &self.newest {
+            let address = SmolStr::new(&announcement.address);
+            self.by_address.entry(address).or_default().push(id.clone());
         }
         let mut ready: HashMap<SmolStr, Vec<Endpoint>> = HashMap::new();
-        self.starts.clear();
-        for announcement in by_address.into_values().filter(|s| s.standing() == Standing::Ready) {
-            let Ok(addr) = announcement.address.parse() else { continue };
-            let (id, zone) = (EndpointId::new(&announcement.id), SmolStr::new(&announcement.zone));
-            if self.leaving.contains_key(&id) {
-                continue;
+        for id in self.newest.keys() {
+            if let Some((service, endpoint)) = self.ready_endpoint(id) {
+                ready.entry(service).or_default().push(endpoint);
             }
-            self.starts.insert(id.clone(), announcement.born);
-            let endpoint = Endpoint { id, addr, zone, slots: announcement.slots };
-            ready.entry(SmolStr::new(&announcement.service)).or_default().push(endpoint);
         }
         for of_service in ready.values_mut() {
             of_service.sort_by(|a, b| a.id.cmp(&b.id));
         }
         self.ready = ready.into_iter().map(|(name, list)| (name, Arc::new(list))).collect();
     }
+
+    /// Derives anew whether one endpoint is ready, and the others at its address.
+    fn merge_one(&mut self, id: &EndpointId) {
+        let announcements = self.reports.values().filter_map(|r| r.announcements.get(id));
+        let newest = announcements.max_by_key(|a| precedence(a)).cloned();
+        if newest.as_ref().is_none_or(|a| self.leaving.get(id).is_some_and(|born| a.born > *born)) {
+            self.leaving.remove(id);
+        }
+        let before = match &newest {
+            Some(newest) => self.newest.insert(id.clone(), Arc::clone(newest)),
+            None => self.newest.remove(id),
+        };
+        let mut affected: HashSet<EndpointId> = HashSet::from([id.clone()]);
+        for announcement in [&before, &newest].into_iter().flatten() {
+            affected.extend(
+                self.by_address.get(announcement.address.as_str()).into_iter().flatten().cloned(),
+            );
+        }
+        let address = |a: &Option<Arc<Announcement>>| a.as_ref().map(|a| SmolStr::new(&a.address));
+        let (old_address, new_address) = (address(&before), address(&newest));
+        if old_address != new_address {
+            self.move_address(id, old_address, new_address);
+        }
+        let old_service = before.map(|a| SmolStr::new(&a.service));
+        for affected_id in affected {
+            let ready = self.ready_endpoint(&affected_id);
+            let service = self.newest.get(&affected_id).map(|a| SmolStr::new(&a.service));
+            let old_service = old_service.as_ref().filter(|_| affected_id == *id);
+            for service in old_service.into_iter().chain(&service) {
+                let endpoint = ready.as_ref().filter(|(s, _)| s == service).map(|(_, e)| e);
+                self.set_ready(service, &affected_id, endpoint);
+            }
+        }
+    }
+
+    fn move_address(&mut self, id: &EndpointId, from: Option<SmolStr>, to: Option<SmolStr>) {
+        if let Some(from) = from
+            && let Some(ids) = self.by_address.get_mut(&from)
+        {
+            ids.retain(|other| other != id);
+            if ids.is_empty() {
+                self.by_address.remove(&from);
+            }
+        }
+        if let Some(to) = to {
+            self.by_address.entry(to).or_default().push(id.clone());
+        }
+    }
+
+    /// The endpoint with its service, if it is ready: of several at one address, the one that started
+    /// last is.
+    fn ready_endpoint(&self, id: &EndpointId) -> Option<(SmolStr, Endpoint)> {
+        let announcement = self.newest.get(id)?;
+        if announcement.standing() != Standing::Ready || self.leaving.contains_key(id) {
+            return None;
+        }
+        let at_address = self.by_address.get(announcement.address.as_str())?;
+        let born = |id: &EndpointId| self.newest.get(id).map(|a| a.born);
+        if at_address.iter().any(|other| (born(other), other) > (Some(announcement.born), id)) {
+            return None;
+        }
+        let endpoint = Endpoint {
+            id: id.clone(),
+            addr: announcement.address.parse().ok()?,
+            zone: SmolStr::new(&announcement.zone),
+            slots: announcement.slots,
+        };
+        Some((SmolStr::new(&announcement.service), endpoint))
+    }
+
+    /// Adds, replaces or removes an endpoint in the list of a service, unless it is there as it is.
+    fn set_ready(&mut self, service: &SmolStr, id: &EndpointId, endpoint: Option<&Endpoint>) {
+        let list = self.ready.entry(service.clone()).or_default();
+        match (find(list, id), endpoint) {
+            (Ok(at), Some(endpoint)) if list[at] == *endpoint => {}
+            (Ok(at), Some(endpoint)) => Arc::make_mut(list)[at] = endpoint.clone(),
+            (Ok(at), None) => drop(Arc::make_mut(list).remove(at)),
+            (Err(at), Some(endpoint)) => Arc::make_mut(list).insert(at, endpoint.clone()),
+            (Err(_), None) => {}
+        }
+        if list.is_empty() {
+            self.ready.remove(service);
+        }
+    }
+}
+
+/// Position of an endpoint in a list that is sorted by id, or where it would be.
+fn find(of_service: &[Endpoint], id: &str) -> Result<usize, usize> {
+    of_service.binary_search_by(|e| e.id.as_str().cmp(id))
 }
 
 /// Order of announcements for the same endpoint; the highest one wins.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -241,3 +241,97 @@
     assert!(health.estimate(ms(15_000), &id).1 > 3.0);
     assert!(health.estimate(ms(40_000), &id).1 < 1.1);
 }
+
+#[test]
+fn an_address_that_an_endpoint_left_is_free_for_others() {
+    let mut directory = Directory::new(ms(1000));
+    let other_address = "127.0.0.1:9999";
+    directory.record(ms(0), announcement("a", ADDRESS, 5, 1, Standing::Ready));
+    directory.record(ms(1), announcement("a", other_address, 5, 2, Standing::Ready));
+    let changed = directory.record(ms(2), announcement("b", ADDRESS, 4, 1, Standing::Ready));
+    assert_eq!(changed.unwrap().len(), 1, "the first endpoint is not at that address any more");
+    let late = announcement("c", other_address, 4, 1, Standing::Ready);
+    assert!(directory.record(ms(3), late).is_none(), "a later start has the address");
+    directory.mark_silent(ms(2_000));
+    directory.mark_silent(ms(60_000));
+    assert!(directory.announcements(ms(600_000)).is_empty());
+    let again = announcement("c", other_address, 4, 1, Standing::Ready);
+    assert_eq!(directory.record(ms(60_001), again).unwrap().len(), 1);
+}
+
+/// An update of one replica, or an endpoint's word that it leaves.
+#[derive(Clone, Debug)]
+enum EndpointStep {
+    Update { control: usize, announcements: Vec<Announcement> },
+    Leaving(usize),
+}
+
+fn endpoint_steps() -> impl Strategy<Value = Vec<EndpointStep>> {
+    let standing = prop_oneof![
+        4 => Just(Standing::Ready),
+        1 => Just(Standing::Draining),
+        1 => Just(Standing::Gone),
+        1 => Just(Standing::Silent),
+    ];
+    let announced = (0..6usize, 0..4u16, 1..4u64, 1..9u64, standing, 0..2usize).prop_map(
+        |(id, port, born, seq, standing, service)| {
+            // What an endpoint announces under one number is always the same.
+            let is_draining = u64::from(standing == Standing::Draining);
+            let number = ((seq * 4 + u64::from(port)) * 2 + service as u64) * 2 + is_draining;
+            Announcement {
+                service: ["large", "small"][service].into(),
+                ..announcement(
+                    &format!("e{id}"),
+                    &format!("127.0.0.1:70{port:02}"),
+                    born,
+                    number,
+                    standing,
+                )
+            }
+        },
+    );
+    let update = (0..3usize, prop::collection::vec(announced, 1..4))
+        .prop_map(|(control, announcements)| EndpointStep::Update { control, announcements });
+    prop::collection::vec(
+        prop_oneof![6 => update, 1 => (0..6usize).prop_map(EndpointStep::Leaving)],
+        1..60,
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(52),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards the lists of ready endpoints that follow single changes: they must be those that are
+    /// derived from all reports.
+    #[test]
+    fn ready_endpoints_after_single_changes_are_those_of_all_reports(steps in endpoint_steps()) {
+        let (mut changed, mut whole) = (Endpoints::default(), Endpoints::default());
+        let mut reported: Vec<std::collections::BTreeMap<String, Announcement>> =
+            vec![Default::default(); 3];
+        for step in steps {
+            match step {
+                EndpointStep::Update { control, announcements } => {
+                    let known = &mut reported[control];
+                    known.extend(announcements.iter().map(|a| (a.id.clone(), a.clone())));
+                    let all = known.values().cloned().collect();
+                    changed.apply_update(&format!("c{control}"), announcements, false);
+                    whole.apply_update(&format!("c{control}"), all, true);
+                }
+                EndpointStep::Leaving(id) => {
+                    let id = format!("e{id}").into();
+                    prop_assert_eq!(changed.mark_leaving(&id), whole.mark_leaving(&id));
+                }
+            }
+            for service in ["large", "small"] {
+                let (changed, whole) =
+                    (changed.ready_endpoints(service), whole.ready_endpoints(service));
+                prop_assert_eq!(changed, whole);
+            }
+            prop_assert_eq!(changed.ready_count(), whole.ready_count());
+        }
+    }
+}
--- a/tests/pooled_evidence.rs
+++ b/tests/pooled_evidence.rs
@@ -237,8 +237,11 @@
     let own = "10.0.0.1:7341".parse().unwrap();
     peers.replace(own, &["10.0.0.2:7341".to_owned()], own);
     let template = SharedLoad { evidence: vec![failed(0, 1, 1)], ..SharedLoad::default() };
-    let all = vec![Flight::default(); 500];
-    let loads = peers.build_loads(&template, &LoadChanges::default(), &all);
-    let evidence: Vec<usize> = loads.iter().map(|(_, load)| load.evidence.len()).collect();
+    let all = || vec![Flight::default(); 500];
+    let mut evidence: Vec<usize> = Vec::new();
+    peers.send_loads(&template, LoadChanges::default(), all, |_, data| {
+        evidence.push(SharedLoad::decode(data).unwrap().evidence.len());
+        true
+    });
     assert_eq!(evidence, [1, 0, 0]);
 }
