Wait longer with a first share, and look nothing up while all are warm

Cause: the property test found 11 arrivals where 10 are shared (33 entries, rate 10): sends that were claimed before an entry joined connected up to 0.4 s later. A decision looks at no endpoint's cold state while none can be cold.

--- a/src/gateway/control_updates.rs
+++ b/src/gateway/control_updates.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::eligibility::cold::parse_addresses;
 use super::load::load_exchange::LoadPeers;
 use super::state::Gateway;
 use crate::clock::boot_now;
@@ -111,3 +110,8 @@
         }
     }
 }
+
+/// Parses the addresses of replicas or entries; what is no address is left out.
+fn parse_addresses<'a>(texts: impl Iterator<Item = &'a String>) -> Vec<SocketAddr> {
+    texts.filter_map(|text| text.parse().ok()).collect()
+}
--- a/src/gateway/eligibility/cold.rs
+++ b/src/gateway/eligibility/cold.rs
@@ -5,7 +5,6 @@
 //! the bound that follows from the list of entries alone. See `docs/design/cold-endpoints.md`.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -171,6 +170,10 @@
     endpoints: HashMap<EndpointId, EndpointState>,
     /// When the last drain of a zone ended.
     drain_ends: HashMap<SmolStr, Moment>,
+    /// Latest end of a stated cold time, and latest crash or end of a drain, of any endpoint. When
+    /// both are long ago, all endpoints are warm, and none has to be looked up.
+    last_cold_until: Option<Moment>,
+    last_assumed_at: Option<Moment>,
     last_claim: u64,
 }
 
@@ -212,12 +215,14 @@
             state.zone = SmolStr::new(&announcement.zone);
         }
         state.set_cold_time(now, Duration::from_millis(announcement.cold_ms));
+        self.last_cold_until = self.last_cold_until.max(state.cold_until);
     }
 
     /// Applies the cold time that an endpoint states in an answer; zero if it is not cold.
     pub fn record_answer(&mut self, now: Moment, id: &EndpointId, cold_time: Duration) {
         if let Some(state) = self.endpoints.get_mut(id) {
             state.set_cold_time(now, cold_time);
+            self.last_cold_until = self.last_cold_until.max(state.cold_until);
         }
     }
 
@@ -226,6 +231,7 @@
     pub fn record_crash(&mut self, now: Moment, id: &EndpointId) {
         if let Some(state) = self.endpoints.get_mut(id) {
             state.crashed_at = Some(now);
+            self.last_assumed_at = self.last_assumed_at.max(Some(now));
         }
     }
 
@@ -233,6 +239,7 @@
     /// for as long as they would be after a start.
     pub fn record_drain_end(&mut self, zone: &str, ended_at: Moment) {
         self.drain_ends.insert(SmolStr::new(zone), ended_at);
+        self.last_assumed_at = self.last_assumed_at.max(Some(ended_at));
     }
 
     /// Number of sends that this entry may make now; `None` for an endpoint without a bound.
@@ -283,7 +290,7 @@
     /// Share of the load of a warm endpoint that an endpoint may take from all entries together;
     /// `usual_per_s` is that load, in requests per second.
     pub fn load_share(&self, now: Moment, id: &EndpointId, usual_per_s: f64) -> f64 {
-        let Some((rate, state)) = self.bounded(id) else { return 1.0 };
+        let Some((rate, state)) = self.bounded(now, id) else { return 1.0 };
         let budget = match self.warmth(now, rate, state) {
             Warmth::Warm => return 1.0,
             Warmth::Cold(_) => self.cfg.budget(rate),
@@ -295,7 +302,7 @@
     /// Number of endpoints that are cold.
     pub fn cold_count(&self, now: Moment) -> usize {
         let is_cold = |id: &&EndpointId| {
-            let bounded = self.bounded(id);
+            let bounded = self.bounded(now, id);
             bounded.is_some_and(|(rate, e)| matches!(self.warmth(now, rate, e), Warmth::Cold(_)))
         };
         self.endpoints.keys().filter(is_cold).count()
@@ -317,7 +324,7 @@
             return Eligibility::Allowed;
         }
         let state = &self.endpoints[id];
-        let cold_until = match self.bounded(id).map(|(rate, s)| self.warmth(now, rate, s)) {
+        let cold_until = match self.bounded(now, id).map(|(rate, s)| self.warmth(now, rate, s)) {
             Some(Warmth::Cold(until)) => until,
             _ => now + RECHECK_INTERVAL,
         };
@@ -335,9 +342,18 @@
         }
     }
 
-    /// The rate and state of an endpoint whose service has a rate.
-    fn bounded(&self, id: &EndpointId) -> Option<(&ColdRate, &EndpointState)> {
-        if self.rates.is_empty() {
+    /// Whether no endpoint can be cold or warming.
+    fn is_all_warm(&self, now: Moment) -> bool {
+        let Some(longest) = self.rates.values().map(|rate| rate.duration).max() else {
+            return true;
+        };
+        self.last_cold_until.is_none_or(|at| now >= at + RAMP_TIME)
+            && self.last_assumed_at.is_none_or(|at| now >= at + longest + RAMP_TIME)
+    }
+
+    /// The rate and state of an endpoint that may be cold or warming.
+    fn bounded(&self, now: Moment, id: &EndpointId) -> Option<(&ColdRate, &EndpointState)> {
+        if self.is_all_warm(now) {
             return None;
         }
         let state = self.endpoints.get(id)?;
@@ -359,7 +375,7 @@
 
     /// Share of this entry in the sends of a [`WINDOW`]; `None` without a bound.
     fn share(&mut self, now: Moment, id: &EndpointId) -> Option<usize> {
-        let (rate, state) = self.bounded(id)?;
+        let (rate, state) = self.bounded(now, id)?;
         let budget = self.cfg.budget(rate);
         let budget = match self.warmth(now, rate, state) {
             Warmth::Warm => return None,
@@ -396,8 +412,3 @@
         self.lock().check(cx.now, &endpoint.id)
     }
 }
-
-/// Parses the addresses of control replicas and entries; what is no address is left out.
-pub fn parse_addresses<'a>(texts: impl Iterator<Item = &'a String>) -> Vec<SocketAddr> {
-    texts.filter_map(|text| text.parse().ok()).collect()
-}
--- a/src/gateway/eligibility/entry_view.rs
+++ b/src/gateway/eligibility/entry_view.rs
@@ -16,13 +16,15 @@
 /// Time for which an entry counts as listed after the replicas stopped listing it.
 pub const STALE_TIME: Duration = Duration::from_secs(2);
 
-/// Time for which an entry has to be listed before it counts itself, so that all others know it. It
-/// covers the window of one second, and 400 ms in which the list travels.
-pub const JOIN_TIME: Duration = Duration::from_millis(1500);
+/// Time for which an entry has to be listed before it counts itself, so that all others know it and
+/// their sends from before have expired. It covers the 1.1 s for which a send counts, 0.4 s in which
+/// the list travels, and 0.5 s from the claim of a send until it is connected. 1.5 s were too short
+/// for sends that connect late.
+pub const JOIN_TIME: Duration = Duration::from_millis(2000);
 
 /// Time for which an entry that is no longer listed stays in the view. That entry sends on until its
-/// link is idle for 1.3 s and its own list is older than [`STALE_TIME`], and its last sends count for
-/// another second.
+/// link is idle for 1.3 s and its own list is older than [`STALE_TIME`]; its last sends take up to
+/// 0.5 s to connect and count for 1.1 s.
 pub const UNLISTED_TTL: Duration = Duration::from_secs(5);
 
 /// Entries that this one knows of.
