Keep the orders of zone drains beside their records

The orders move to control/zone_drains.rs, the deployment with servers in two zones to tests/platform/zones.rs; the note says what holds with older replicas.

--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::bootstrap::{self, BootstrapService, REPORT_INTERVAL};
-use super::core::{Answer, Core, CoreView, Input};
+use super::core::{Answer, Core, Input};
 use super::core_config::{CoreConfig, OnWriteError, Published};
 use super::endpoint_file;
 use super::hub::{Hub, HubHandler};
@@ -25,7 +25,6 @@
 use super::server;
 use super::state::ControlState;
 use super::store::{OpenedStore, Store, StoreError};
-use super::zone_drains;
 use crate::clock::boot_now;
 use crate::directory::age_cold_time;
 use crate::event;
@@ -86,15 +85,6 @@
     TimedOut,
 }
 
-/// Why this replica did not drain a zone or end its drain.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ZoneDrainError {
-    /// There is no such zone; the zones that exist.
-    UnknownZone(BTreeSet<String>),
-    /// The call was not answered.
-    Call(CallError),
-}
-
 /// Handle to a running replica; clones share the replica.
 #[derive(Clone)]
 pub struct ControlService {
@@ -102,7 +92,7 @@
     published: watch::Receiver<Published>,
     hub: Arc<Hub>,
     /// Availability zones of the settings, with that of this host.
-    zones: BTreeSet<String>,
+    pub(super) zones: BTreeSet<String>,
 }
 
 impl ControlService {
@@ -205,56 +195,6 @@
         self.call(|tx| Input::Propose(command, tx)).await
     }
 
-    /// Drains an availability zone or ends its drain; returns once the order is committed. Repeated
-    /// orders are committed again, so that an acknowledgement always means as many copies.
-    ///
-    /// # Errors
-    /// Only a confirmed leader knows that there is no such zone. Other errors are as for
-    /// [`ControlService::propose_document`].
-    pub async fn set_zone_drain(
-        &self,
-        zone: &str,
-        drained: bool,
-    ) -> Result<Outcome, ZoneDrainError> {
-        let is_name = !zone.is_empty() && !zone.contains('/');
-        let mut known = self.known_zones();
-        if !is_name {
-            return Err(ZoneDrainError::UnknownZone(known));
-        }
-        if !known.contains(zone) {
-            known.extend(self.recorded_zones().await.map_err(ZoneDrainError::Call)?);
-        }
-        if !known.contains(zone) {
-            return Err(ZoneDrainError::UnknownZone(known));
-        }
-        let kind = Some(command::Kind::Change(zone_drains::build_change(zone, drained)));
-        let command = Command { kind, ..Command::default() };
-        self.call(|tx| Input::Propose(command, tx)).await.map_err(ZoneDrainError::Call)
-    }
-
-    /// Zones of the settings, of the replicas and of the announced endpoints.
-    fn known_zones(&self) -> BTreeSet<String> {
-        let mut zones = self.hub.zones();
-        zones.extend(self.zones.iter().cloned());
-        zones.extend(self.published.borrow().replicas.iter().map(|r| r.zone.clone()));
-        zones.remove("");
-        zones
-    }
-
-    /// Zones of which the confirmed leader has a record.
-    async fn recorded_zones(&self) -> Result<Vec<String>, CallError> {
-        let read = |tx: oneshot::Sender<Answer<Vec<String>>>| {
-            Input::Read(Box::new(move |view: CoreView<'_>| {
-                let answer = match view.may_read {
-                    true => Answer::Done(zone_drains::recorded_zones(&view.state.config)),
-                    false => Answer::NotLeader(view.other_leader()),
-                };
-                let _ = tx.send(answer);
-            }))
-        };
-        self.call(read).await
-    }
-
     /// Reads the newest committed document.
     ///
     /// # Errors
@@ -283,7 +223,7 @@
     }
 
     /// Sends an input to the core and waits for the answer.
-    async fn call<T>(
+    pub(super) async fn call<T>(
         &self,
         input: impl FnOnce(oneshot::Sender<Answer<T>>) -> Input,
     ) -> Result<T, CallError> {
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -24,7 +24,8 @@
 
 use super::document;
 use crate::control::relay::ControlRelay;
-use crate::control::service::{CallError, ControlService, ZoneDrainError};
+use crate::control::service::{CallError, ControlService};
+use crate::control::zone_drains::ZoneDrainError;
 use crate::document::MAX_DOCUMENT_BYTES;
 use crate::event;
 use crate::ids::RegionName;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,3 +13,4 @@
 mod slow_readers;
 mod system;
 mod zone_drains;
+mod zones;
--- a/tests/platform/regions.rs
+++ b/tests/platform/regions.rs
@@ -6,7 +6,7 @@
 
 use crate::deployment::{ask, id_of, plain, wait_until};
 use crate::servers::{EVENTS, ServerMode};
-use crate::zone_drains::Fixture;
+use crate::zones::Fixture;
 
 /// Changes the document and waits until the first entry has it in force.
 async fn change_document(fixture: &mut Fixture, change: impl FnOnce(&mut Value)) {
