Check one document at a time

Documents are checked on threads beside the one that answers calls, so that several checks could run at once and take several times the memory of their documents. A semaphore admits one.

--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -18,6 +18,7 @@
 use serde::Deserialize;
 use slog::Logger;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::task::{spawn_blocking, yield_now};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -44,6 +45,10 @@
 /// Time within which the head of the next request has to arrive; closes idle connections too.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Documents that are checked at the same time; one at a time, since a check takes several times the
+/// memory of the document.
+static DOCUMENT_CHECKS: Semaphore = Semaphore::const_new(1);
+
 type HttpResponse = Response<Full<Bytes>>;
 
 /// Body of an announcement. Fields that are not listed, such as `Version`, are ignored.
@@ -273,7 +278,9 @@
     body: Bytes,
 ) -> HttpResponse {
     // A large document takes long to check and to compress; other calls are answered meanwhile.
+    let permit = DOCUMENT_CHECKS.acquire().await;
     let packed = spawn_blocking(move || {
+        let _permit = permit;
         document::decode(&body).map(|config| (Document::pack(config.version, body), config))
     });
     let (document, config) = match packed.await {
