Queue requests of services with several priorities in one order

Each waiting request polled on its own every 60 ms, so that new arrivals overtook and priority had no effect at the entry. A queue for each service with more than one declared priority now tries requests one at a time, in the order of the benefit that is lost per unit of engine time, and refuses what cannot be served in time. Entries report what waits in SharedLoad.demand. The switches are placement-queue and shared-demand.

--- a/benches/fleet_size.rs
+++ b/benches/fleet_size.rs
@@ -125,7 +125,7 @@
                     if prompt_tokens > 5_000 {
                         black_box(mean_backlog_ms(engines.all()));
                     }
-                    decide_among(&policy, &model, &engines, &req)
+                    decide_among(&policy, &model, &engines, &req, None)
                 });
             });
         }
--- a/examples/heavy.rs
+++ b/examples/heavy.rs
@@ -9,7 +9,9 @@
 use bitternlead::gateway::placement::policy::Policy;
 
 use crate::emulator::fleet::{Outcome, Summary, run_policy, summarize};
-use crate::emulator::load::{Preset, grown, large, scaled, small, with_burst};
+use crate::emulator::load::{
+    Preset, contended, contended_bursts, grown, large, scaled, small, with_burst,
+};
 use crate::emulator::router::Router;
 
 /// Compare placement policies on emulated engines.
@@ -130,7 +132,17 @@
     grown_burst.name = "grown burst";
     let mut part = scaled(large(), 1.0 / 6.6);
     part.name = "large part";
-    let presets: Vec<Preset> = vec![small(), burst, grown(), grown_burst, large(), part];
+    let mut presets: Vec<Preset> = vec![small(), burst, grown(), grown_burst, large(), part];
+    for (name, preset) in [
+        ("contended x1", contended(1.0)),
+        ("contended x2", contended(2.0)),
+        ("contended x4", contended(4.0)),
+        ("contended bursts x1", contended_bursts(1.0)),
+        ("contended bursts x2", contended_bursts(2.0)),
+    ] {
+        // A third of the fleet: the whole one takes minutes for each run at four times the load.
+        presets.push(Preset { name, ..scaled(preset, 1.0 / 3.0) });
+    }
     let policies = select_policies(options.without.as_deref())?;
     println!(
         "| load | policy | whole | worst two windows | short | medium | long | refused | abandoned | largest tenth | fifth below | range |"
--- a/src/events.rs
+++ b/src/events.rs
@@ -112,6 +112,8 @@
     MemoryRefused = 640, Warning, "no memory for the body of a request";
     CallerNotReading = 641, Warning, "caller read nothing, disconnected";
     EndpointAvoided = 642, Info, "endpoint avoided for a time, several entries saw it refuse";
+    RequestQueued = 650, Info, "request waits for an engine";
+    RequestLeftQueue = 651, Info, "request left the queue for an engine";
     DocumentAccepted = 620, Info, "configuration document accepted";
     DocumentRefused = 621, Warning, "configuration document refused";
     AnnouncementRefused = 622, Warning, "announcement refused";
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -18,8 +18,13 @@
 use super::placement::engine_state::EngineState;
 use super::placement::fleet_sample::{MAX_CANDIDATES, draw_candidates};
 use super::placement::plan_search::is_worth_splitting;
+use super::placement::queue::Attempt;
+use super::placement::queue_order::QueuedRequest;
+use super::placement::value::value;
 use super::placement::{self, Decision, PlacementRequest, Plan};
+use super::queueing::{QueuePlace, Turn};
 use super::reservation::Reservation;
+use super::responses::default_retry_after;
 use super::state::InFlightGuard;
 use crate::clock::boot_now;
 use crate::event;
@@ -36,8 +41,8 @@
 /// Assumed round trip within an availability zone and across zones, in milliseconds.
 const ROUND_TRIPS_MS: (f64, f64) = (0.3, 3.0);
 
-/// Minimum retry delay suggested to callers while the engines are busy, in milliseconds.
-const MIN_RETRY_AFTER_MS: f64 = 100.0;
+/// Minimum retry delay suggested to callers while the engines are busy.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Fraction of the route's timeout below which a caller's own timeout shows that it was refused
 /// before and retries with the rest of its time.
@@ -137,8 +142,62 @@
             && self.gateway.has_retry(&self.service.name)
     }
 
+    /// Selects the destination of the request when it is its turn, if its service has an order; as
+    /// [`Self::choose`] otherwise.
+    pub async fn choose_in_turn(&self) -> Choice {
+        let Some(req) = self.queued_request() else { return self.choose().await };
+        let name = &self.service.name;
+        let mut place = QueuePlace::enter(&self.gateway, name, &self.caller.id, req);
+        loop {
+            let turn = tokio::select! {
+                biased;
+                turn = place.next_turn() => turn,
+                () = self.gateway.stopping.cancelled() => None,
+            };
+            match turn {
+                Some(Turn::Try) => {}
+                Some(Turn::Refuse(after, cause)) => return refused_after(after, cause.text()),
+                // A wait may be longer than the rest of the grace period.
+                None => {
+                    let after = default_retry_after(&self.caller);
+                    return Choice::Refused(after, "this process is ending");
+                }
+            }
+            match self.choose_at(Some(&place)).await {
+                Choice::Wait(_) => place.record(Attempt::Waits, ""),
+                Choice::Refused(after, reason) => {
+                    place.record(Attempt::Refused, reason);
+                    return Choice::Refused(after, reason);
+                }
+                choice => return choice,
+            }
+        }
+    }
+
+    /// The request as the queue of its service sees it; `None` if the service has no order.
+    fn queued_request(&self) -> Option<QueuedRequest> {
+        let has_order =
+            self.gateway.cfg.policy.placement_queue && self.config.has_order(&self.service.name);
+        let (model, tokens) = (self.service.engine.as_ref()?, self.caller.tokens?);
+        let shared_parts = self.caller.prompt_parts.split_last().map_or(&[][..], |(_, s)| s);
+        has_order.then(|| QueuedRequest {
+            priority: self.priority,
+            workspace: self.workspace.clone().unwrap_or_default(),
+            prompt_parts: shared_parts.iter().map(|p| xxh3_64(p.as_bytes())).collect(),
+            arrived_at: self.started,
+            objective_at: self.started + self.route.objective,
+            deadline: self.deadline,
+            prefill_ms: model.prefill_ms(tokens.prompt),
+            value: value(tokens.prompt, tokens.output),
+        })
+    }
+
     /// Selects the destination of the request, or says why there is none.
     pub async fn choose(&self) -> Choice {
+        self.choose_at(None).await
+    }
+
+    async fn choose_at(&self, place: Option<&QueuePlace>) -> Choice {
         let now = boot_now();
         if let Some(left) = self.gateway.quarantine.lock().time_left(now, &self.suspect_keys) {
             return Choice::RefusedFor(left, "such requests crash endpoints");
@@ -148,7 +207,7 @@
             return self.choose_later(now);
         }
         match (self.service.engine.is_some(), self.caller.tokens) {
-            (true, Some(_)) => self.choose_engine(now, candidates).await,
+            (true, Some(_)) => self.choose_engine(now, candidates, place).await,
             _ => self.choose_least_loaded(now, candidates),
         }
     }
@@ -218,7 +277,12 @@
         }))
     }
 
-    async fn choose_engine(&self, now: Moment, candidates: Vec<Endpoint>) -> Choice {
+    async fn choose_engine(
+        &self,
+        now: Moment,
+        candidates: Vec<Endpoint>,
+        place: Option<&QueuePlace>,
+    ) -> Choice {
         let (Some(model), Some(tokens)) = (&self.service.engine, self.caller.tokens) else {
             return Choice::NoEndpoint;
         };
@@ -236,13 +300,21 @@
             is_retry: self.is_retry(),
             remaining_ms: self.remaining().as_secs_f64() * 1000.0,
         };
-        match self.decide(now, model, &candidates, &mut req) {
-            Decision::Send(plan) => self.reserve_and_place(now, &candidates, &req, plan).await,
+        match self.decide(now, model, &candidates, &mut req, place) {
+            Decision::Send(plan) => {
+                let sends = plan.sends_to(|index| &candidates[index].id, &req, now);
+                let Some(in_flight) = self.gateway.track_sends(sends) else {
+                    return Choice::Wait(NO_ROOM_RETRY);
+                };
+                // The next request sees these sends; a reservation takes a round trip.
+                if let Some(place) = place {
+                    place.record(Attempt::Placed, "");
+                }
+                self.reserve_and_place(now, &candidates, in_flight, plan).await
+            }
             Decision::Wait(ms) => Choice::Wait(Duration::from_secs_f64(ms / 1000.0)),
             Decision::Refuse { retry_after_ms, cause } => {
-                let after =
-                    Duration::from_secs_f64(retry_after_ms.max(MIN_RETRY_AFTER_MS) / 1000.0);
-                Choice::Refused(after, cause.text())
+                refused_after(Duration::from_secs_f64(retry_after_ms / 1000.0), cause.text())
             }
             Decision::TooLarge => {
                 Choice::Refused(Duration::from_secs(1), "the engines' memory is not free")
@@ -282,18 +354,14 @@
             "wanted_retry_after_ms" => retry_after_ms as u64);
     }
 
-    /// Registers the in-flight sends of a plan and reserves KV cache at the helpers.
+    /// Reserves KV cache at the helpers of a plan whose sends are registered.
     async fn reserve_and_place(
         &self,
         now: Moment,
         candidates: &[Endpoint],
-        req: &PlacementRequest,
+        in_flight: InFlightGuard,
         plan: Plan,
     ) -> Choice {
-        let sends = plan.sends_to(|index| &candidates[index].id, req, now);
-        let Some(in_flight) = self.gateway.track_sends(sends) else {
-            return Choice::Wait(NO_ROOM_RETRY);
-        };
         let parts = plan.helpers.iter().filter(|h| h.held_tokens > 0);
         let parts: Vec<(Endpoint, u64)> =
             parts.map(|h| (candidates[h.index].clone(), h.held_tokens)).collect();
@@ -331,8 +399,10 @@
         model: &EngineModel,
         candidates: &[Endpoint],
         req: &mut PlacementRequest,
+        place: Option<&QueuePlace>,
     ) -> Decision {
         let (gateway, policy) = (&self.gateway, &self.gateway.cfg.policy);
+        let order = place.map(|p| p.order(now));
         let in_flight = gateway.in_flight.lock();
         let (same_zone_ms, cross_zone_ms) = ROUND_TRIPS_MS;
         let usual_per_s = model.usual_requests_per_s();
@@ -352,13 +422,17 @@
             |index: usize| gateway.cold.lock().load_share(now, &candidates[index].id, usual_per_s);
         let engines = KnownEngines::new(model, now, ids, &in_flight, complete, load_share);
         let mut smoothed_backlog = gateway.smoothed_backlog.lock();
-        req.smoothed_backlog_ms = if is_worth_splitting(model, req.prompt_tokens) {
-            smoothed_backlog.record(now, mean_backlog_ms(engines.all()))
-        } else {
-            smoothed_backlog.record_due(now, || mean_backlog_ms(engines.all()))
+        let backlog_ms =
+            is_worth_splitting(model, req.prompt_tokens).then(|| mean_backlog_ms(engines.all()));
+        req.smoothed_backlog_ms = match backlog_ms {
+            Some(backlog_ms) => smoothed_backlog.record(now, backlog_ms),
+            None => smoothed_backlog.record_due(now, || mean_backlog_ms(engines.all())),
         };
         drop(smoothed_backlog);
-        let decision = placement::decide_among(policy, model, &engines, req);
+        if let Some(place) = place {
+            place.set_capacity(candidates.len(), backlog_ms.unwrap_or(req.smoothed_backlog_ms));
+        }
+        let decision = placement::decide_among(policy, model, &engines, req, order.as_ref());
         match &decision {
             Decision::Send(plan) => self.log_placed(&engines, req, plan),
             Decision::Refuse { retry_after_ms, .. } => {
@@ -369,3 +443,8 @@
         decision
     }
 }
+
+/// Refusal with a retry delay of at least [`MIN_RETRY_AFTER`].
+fn refused_after(after: Duration, reason: &'static str) -> Choice {
+    Choice::Refused(after.max(MIN_RETRY_AFTER), reason)
+}
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -122,6 +122,7 @@
     /// Regions that routes and workspaces name, with the places where they do.
     pub named_regions: Vec<(Place, RegionName)>,
     routes: HashMap<SmolStr, HashMap<SmolStr, Arc<Route>>>,
+    declared_priorities: HashMap<SmolStr, BTreeSet<u32>>,
 }
 
 impl GatewayConfig {
@@ -144,6 +145,27 @@
         findings
     }
 
+    /// Records that a route to this service, or a workspace that may use it, declares a priority.
+    pub fn declare_priority(&mut self, service: &SmolStr, priority: u32) {
+        self.declared_priorities.entry(service.clone()).or_default().insert(priority);
+    }
+
+    /// Whether the routes to this service and the workspaces that may use it declare more than one
+    /// priority, so that its requests wait in one order.
+    ///
+    /// ```
+    /// use bitternlead::gateway::config::GatewayConfig;
+    ///
+    /// let mut config = GatewayConfig::default();
+    /// config.declare_priority(&"engines".into(), 0);
+    /// assert!(!config.has_order("engines"));
+    /// config.declare_priority(&"engines".into(), 2);
+    /// assert!(config.has_order("engines"));
+    /// ```
+    pub fn has_order(&self, service: &str) -> bool {
+        self.declared_priorities.get(service).is_some_and(|p| p.len() > 1)
+    }
+
     /// Finds the route with the longest prefix that matches `path`.
     ///
     /// The cost grows with the number of slashes in the path, not with the number of routes.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -54,7 +54,7 @@
         if boot_now() >= req.deadline {
             return failed.unwrap_or_else(|| req.fail("deadline passed"));
         }
-        let placement = match req.choose().await {
+        let placement = match req.choose_in_turn().await {
             Choice::Placed(placement) => *placement,
             Choice::NoEndpoint => {
                 let waited = boot_now().saturating_sub(req.started);
--- a/src/gateway/load/load_exchange.rs
+++ b/src/gateway/load/load_exchange.rs
@@ -261,6 +261,7 @@
             incarnation,
             limits: gateway.limits.lock().report(now),
             evidence,
+            demand: gateway.queues.report(now),
             ..SharedLoad::default()
         };
         // Sends that were added meanwhile are listed, and reported again with the next changes.
@@ -306,7 +307,9 @@
                     "from" => node.as_str(), "ms" => time.as_millis() as u64);
             }
         }
+        gateway.queues.apply_report(now, &load);
         let outcome = gateway.in_flight.lock().apply_report(now, load);
+        gateway.queues.notify_capacity();
         if outcome != ReportOutcome::Incomplete {
             continue;
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod pass_through;
 pub mod placement;
 pub mod pool;
+pub mod queueing;
 pub mod reason;
 pub mod relay;
 pub mod reservation;
--- a/src/gateway/placement/admission.rs
+++ b/src/gateway/placement/admission.rs
@@ -7,14 +7,15 @@
 //! must not take the slots of those that can be in time: they wait for a slot to spare, and are
 //! refused before their callers would leave.
 
-use super::decision::{PlacementRequest, Plan, RefusalCause};
+use super::decision::{OrderContext, PlacementRequest, Plan, RefusalCause};
 use super::engine_model::EngineModel;
 use super::engine_state::EngineState;
 use super::policy::Policy;
+use super::queue_order::priority_weight;
 use super::value::LATE_LOSS_SHARE;
 
 /// Interval at which a waiting request is decided about again, in milliseconds.
-const WAIT_INTERVAL_MS: f64 = 60.0;
+pub(super) const WAIT_INTERVAL_MS: f64 = 60.0;
 
 /// Time that a long prompt must have left after its predicted first token to wait on, in
 /// milliseconds. A caller that is refused after its wait needs it to come back.
@@ -69,9 +70,12 @@
     engines: &[EngineState],
     req: &PlacementRequest,
     plan: &Plan,
+    order: Option<&OrderContext>,
 ) -> Admission {
-    let justified = justifies_prefill(policy, model, engines, req, plan.late);
-    let displaces = plan.others_loss > kept_value(req, plan.late) * MAX_OTHERS_LOSS_SHARE;
+    // In an order, the benefit for the engine time decides who comes first.
+    let justified = order.is_some() || justifies_prefill(policy, model, engines, req, plan.late);
+    let weight = order.map_or(1.0, |o| priority_weight(o.priority));
+    let displaces = plan.others_loss > kept_value(req, plan.late) * weight * MAX_OTHERS_LOSS_SHARE;
     if justified && !(policy.wait_long && displaces) {
         return Admission::Place;
     }
--- a/src/gateway/placement/decision.rs
+++ b/src/gateway/placement/decision.rs
@@ -6,7 +6,8 @@
 //! pauses of all streams on the same engine. [`super::plan_search`] finds the engines that cost
 //! other requests the least; [`super::admission`] says whether that cost is worth it now.
 
-use super::admission::{Admission, admit_late_short, admit_long};
+use super::admission::{Admission, WAIT_INTERVAL_MS, admit_late_short, admit_long};
+use super::demand::DemandAhead;
 use super::engine_model::EngineModel;
 use super::engine_sample::sample_engines;
 use super::engine_source::EngineSource;
@@ -149,6 +150,8 @@
     /// The engines are busy, and the prompt's prefill would cost other requests more than its
     /// value.
     DisplacesOthers,
+    /// More requests wait than the queue holds.
+    QueueFull,
 }
 
 impl RefusalCause {
@@ -158,10 +161,22 @@
             Self::TooLate => "no engine can serve it in time",
             Self::NoSpareSlot => "it is late, and all slots are needed for requests in time",
             Self::DisplacesOthers => "the engines are full, and it would make too many others late",
+            Self::QueueFull => "too many requests wait for the engines",
         }
     }
 }
 
+/// Place of a request in the order of a service with several priorities.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct OrderContext {
+    /// Priority of the workspace or the route; 0 is the most urgent.
+    pub priority: u32,
+    /// More urgent requests that wait at other entries and need no more work.
+    pub demand: DemandAhead,
+    /// Whether requests like it were served less often than others of their priority.
+    pub is_behind: bool,
+}
+
 /// Outcome of [`decide`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -207,17 +222,25 @@
     engines: &[EngineState],
     req: &PlacementRequest,
 ) -> Decision {
-    decide_among(policy, model, engines, req)
+    decide_among(policy, model, engines, req, None)
 }
 
 /// Decides where to place one request, as [`decide`] does, and derives only the states of the
-/// engines that it looks at.
+/// engines that it looks at. A request of a service with several priorities has a place in an order.
 pub fn decide_among(
     policy: &Policy,
     model: &EngineModel,
     engines: &(impl EngineSource + ?Sized),
     req: &PlacementRequest,
+    order: Option<&OrderContext>,
 ) -> Decision {
+    let is_needed = |order: &OrderContext| {
+        let has_demand = order.demand != DemandAhead::default();
+        !order.is_behind && has_demand && order.demand.exceeds_spare(model, engines.all())
+    };
+    if policy.shared_demand && order.is_some_and(is_needed) {
+        return Decision::Wait(WAIT_INTERVAL_MS);
+    }
     let count = engines.count();
     let short_engines =
         if policy.short_engines { short_engines_among(model, engines) } else { count };
@@ -244,7 +267,7 @@
             }
             admission
         }
-        (false, _) => admit_long(policy, model, engines.all(), req, &plan),
+        (false, _) => admit_long(policy, model, engines.all(), req, &plan, order),
     };
     match admission {
         Admission::Place => Decision::Send(plan),
--- a/src/gateway/placement/mod.rs
+++ b/src/gateway/placement/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod decision;
+pub mod demand;
 pub mod engine_model;
 pub mod engine_sample;
 pub mod engine_source;
@@ -11,9 +12,12 @@
 pub mod fleet_sample;
 pub mod plan_search;
 pub mod policy;
+pub mod queue;
+pub mod queue_order;
+pub mod service_shares;
 pub mod value;
 
 pub use decision::{
-    Decision, Helper, PlacementRequest, Plan, RefusalCause, decide, decide_among,
+    Decision, Helper, OrderContext, PlacementRequest, Plan, RefusalCause, decide, decide_among,
     short_engine_count,
 };
--- a/src/gateway/placement/policy.rs
+++ b/src/gateway/placement/policy.rs
@@ -28,6 +28,10 @@
     pub health_estimates: bool,
     /// Entries tell each other about their sends.
     pub load_exchange: bool,
+    /// Requests of services with several priorities wait in one order.
+    pub placement_queue: bool,
+    /// Less urgent requests leave capacity for more urgent ones that wait at other entries.
+    pub shared_demand: bool,
     /// Requests wait for the first configuration after a start.
     pub wait_for_config: bool,
     /// Bodies and answers are held within a budget where the settings name a memory limit, and
@@ -54,6 +58,8 @@
             delay_cost: true,
             health_estimates: true,
             load_exchange: true,
+            placement_queue: true,
+            shared_demand: true,
             wait_for_config: true,
             memory_budget: true,
             pooled_evidence: true,
@@ -107,6 +113,8 @@
             ("delay-cost", &mut self.delay_cost),
             ("health-estimates", &mut self.health_estimates),
             ("load-exchange", &mut self.load_exchange),
+            ("placement-queue", &mut self.placement_queue),
+            ("shared-demand", &mut self.shared_demand),
             ("wait-for-config", &mut self.wait_for_config),
             ("memory-budget", &mut self.memory_budget),
             ("pooled-evidence", &mut self.pooled_evidence),
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -21,6 +21,7 @@
 use super::handler;
 use super::load::load_exchange::{self, LoadPeers};
 use super::pool::MAX_UNSENT_BYTES;
+use super::queueing;
 use super::responses::{self, ResponseBody};
 use super::state::Gateway;
 use crate::clock::boot_now;
@@ -93,6 +94,7 @@
         ));
     }
     tokio::spawn(load_exchange::receive_load(Arc::clone(&gateway), socket, peers, cx.clone()));
+    tokio::spawn(queueing::run(Arc::clone(&gateway), cx.clone()));
     let (metrics, _) = process::bind(addresses.metrics).await?;
     let readiness = Readiness::default();
     let probes =
@@ -134,6 +136,7 @@
         let endpoints = gateway.endpoints.lock();
         gateway.metrics.endpoints.set(endpoints.ready_count() as i64);
         gateway.health.lock().retain(|id| endpoints.is_ready(id));
+        queueing::update_gauges(&gateway);
         gateway.expire_quarantine();
         gateway.limits.lock().retain(boot_now(), |id| endpoints.is_ready(id));
         let mut cold = gateway.cold.lock();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -27,6 +27,7 @@
 use super::memory_budget::{HeldKind, MemoryBudget, budget_bytes};
 use super::placement::policy::Policy;
 use super::pool::Pool;
+use super::queueing::Queues;
 use super::startup::WaitingRequests;
 use crate::clock::boot_now;
 use crate::directory::EndpointId;
@@ -115,6 +116,8 @@
     pub budget: Mutex<RetryBudget>,
     /// Bytes held for bodies and answers.
     pub memory: Arc<MemoryBudget>,
+    /// Requests that wait for an engine in the order of their service.
+    pub queues: Queues,
     /// Idle connections to endpoints.
     pub pool: Pool,
     /// Wakes the task that sends this entry's load to other entries.
@@ -171,6 +174,7 @@
             checked_endpoints: Mutex::default(),
             budget: Mutex::new(budget),
             memory: Arc::new(memory),
+            queues: Queues::default(),
             pool: Pool::new(memory_limit.is_some()),
             load_changed: Notify::new(),
             stopping: CancellationToken::new(),
@@ -445,6 +449,7 @@
             }
             drop(in_flight);
             self.gateway.load_changed.notify_one();
+            self.gateway.queues.notify_capacity();
         }
     }
 }
@@ -462,5 +467,6 @@
         cold.release(&self.claims.helpers);
         drop(cold);
         self.gateway.load_changed.notify_one();
+        self.gateway.queues.notify_capacity();
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -40,6 +40,20 @@
     pub kind: String,
 }
 
+/// Label of metrics that are split by service.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct QueueLabels {
+    /// Name of the service.
+    pub service: String,
+}
+
+/// Label of metrics that are split by priority.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct PriorityLabels {
+    /// Priority of the workspace or the route; 0 is the most urgent.
+    pub priority: u32,
+}
+
 /// All metrics; those of other roles stay at zero.
 pub struct Metrics {
     registry: Registry,
@@ -55,6 +69,12 @@
     pub total: Family<ClassLabels, Histogram>,
     /// Longest pause within a stream in seconds, by prompt class.
     pub pause: Family<ClassLabels, Histogram>,
+    /// Requests that wait for an engine, by service.
+    pub queue_length: Family<QueueLabels, Gauge>,
+    /// Seconds in the queue for an engine, by priority.
+    pub queue_wait: Family<PriorityLabels, Histogram>,
+    /// Requests refused in the queue, by reason.
+    pub queue_refusals: Family<ReasonLabels, Counter>,
     /// Memory reservations at several engines, by result.
     pub reservations: Family<ReasonLabels, Counter>,
     /// Endpoints that accept requests.
@@ -100,6 +120,9 @@
             first_token: Family::new_with_constructor(buckets),
             total: Family::new_with_constructor(buckets),
             pause: Family::new_with_constructor(buckets),
+            queue_length: Family::default(),
+            queue_wait: Family::new_with_constructor(buckets),
+            queue_refusals: Family::default(),
             reservations: Family::default(),
             endpoints: Gauge::default(),
             entries: Gauge::default(),
@@ -131,6 +154,9 @@
         r.register("first_token_seconds", "Time to first token", self.first_token.clone());
         r.register("request_seconds", "Time to the end of an answer", self.total.clone());
         r.register("stream_pause_seconds", "Longest pause of a stream", self.pause.clone());
+        r.register("queue_length", "Requests that wait", self.queue_length.clone());
+        r.register("queue_wait_seconds", "Time in the queue", self.queue_wait.clone());
+        r.register("queue_refusals", "Refusals in the queue", self.queue_refusals.clone());
         r.register("reservations", "Memory reservations", self.reservations.clone());
         r.register("endpoints_ready", "Endpoints that take work", self.endpoints.clone());
         r.register("entries", "Entries that share their load", self.entries.clone());
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -177,6 +177,13 @@
         let place = Place::Whole(format!("Routes[{index}] {}", route.name));
         let decoded = decode_route(route, &config, &place, &mut findings);
         add_named_regions(&mut config, &place, &route.allowed_regions);
+        for (service, _) in &decoded.targets {
+            let of_route = route.prio.iter();
+            let workspaces = document.tenants.iter().flatten().filter(|_| !route.public);
+            for priority in of_route.chain(workspaces.filter_map(|w| w.prio.as_ref())) {
+                config.declare_priority(service, *priority);
+            }
+        }
         if !config.add_route(decoded) {
             findings.add(place, "host and path prefix are taken by another route");
         }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1073,6 +1073,38 @@
     /// What the sender observed of endpoints in the last second, the newest first; at most 32.
     #[prost(message, repeated, tag = "10")]
     pub evidence: ::prost::alloc::vec::Vec<EndpointEvidence>,
+    /// Requests in time that wait for an engine at the sender; missing if none waits.
+    #[prost(message, optional, tag = "9")]
+    pub demand: ::core::option::Option<Demand>,
+}
+/// Requests that wait at one entry, by class.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Demand {
+    #[prost(message, repeated, tag = "1")]
+    pub classes: ::prost::alloc::vec::Vec<DemandClass>,
+}
+/// Waiting requests of one service, priority and length.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DemandClass {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Priority of the workspace or the route; 0 is the most urgent.
+    #[prost(uint32, tag = "2")]
+    pub priority: u32,
+    /// Class of the prefill work; each class has twice the work of the one before.
+    #[prost(uint32, tag = "3")]
+    pub length_class: u32,
+    #[prost(uint32, tag = "4")]
+    pub requests: u32,
+    /// Engine time of their prefills together.
+    #[prost(uint32, tag = "5")]
+    pub prefill_ms: u32,
+    /// Time that the oldest of them has waited.
+    #[prost(uint32, tag = "6")]
+    pub oldest_ms: u32,
+    /// Time until the first of them misses its objective.
+    #[prost(uint32, tag = "7")]
+    pub next_deadline_ms: u32,
 }
 /// Rate of requests that an endpoint takes from all entries together.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/emulator/fleet.rs
+++ b/tests/emulator/fleet.rs
@@ -9,14 +9,18 @@
 use bitternlead::gateway::load::load_exchange::SendPacer;
 use bitternlead::gateway::load::moving_average::MovingAverage;
 use bitternlead::gateway::placement::admission::mean_backlog_ms;
+use bitternlead::gateway::placement::demand::RemoteDemand;
 use bitternlead::gateway::placement::engine_model::EngineModel;
 use bitternlead::gateway::placement::engine_source::{EngineSource, KnownEngines};
 use bitternlead::gateway::placement::engine_state::EngineState;
 use bitternlead::gateway::placement::fleet_sample::draw_candidates;
 use bitternlead::gateway::placement::plan_search::is_worth_splitting;
 use bitternlead::gateway::placement::policy::Policy;
-use bitternlead::gateway::placement::{Decision, PlacementRequest, Plan};
-use bitternlead::wire::SharedLoad;
+use bitternlead::gateway::placement::queue::{Attempt, Capacity, PlacementQueue, Step, TicketId};
+use bitternlead::gateway::placement::queue_order::QueuedRequest;
+use bitternlead::gateway::placement::value::value;
+use bitternlead::gateway::placement::{Decision, OrderContext, PlacementRequest, Plan};
+use bitternlead::wire::{Demand, SharedLoad};
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -45,6 +49,14 @@
 pub struct Outcome {
     /// Index of the request's kind in the preset.
     pub kind: usize,
+    /// Index of the caller's workspace.
+    pub workspace: usize,
+    /// Prompt length in tokens.
+    pub prompt: u64,
+    /// Time of the last event in milliseconds.
+    pub last_event_ms: Option<f64>,
+    /// Time from the arrival to the last refusal in milliseconds.
+    pub refused_ms: Option<f64>,
     /// Arrival time in milliseconds.
     pub at_ms: f64,
     /// Time to the first event in milliseconds; `None` if there was none.
@@ -92,6 +104,9 @@
     SendLoad { entry: usize },
     ReceiveLoad { entry: usize, load: Box<SharedLoad> },
     GiveUp { send: SendId },
+    Pump { entry: usize },
+    LoseEngines,
+    ReturnEngines,
 }
 
 struct ScheduledEvent(f64, u64, Event);
@@ -125,7 +140,21 @@
     last_event_ms: Option<f64>,
 }
 
+/// A request at an entry.
+#[derive(Clone, Copy)]
+struct Attempted {
+    request: usize,
+    tries: u32,
+    entry: usize,
+    arrived_ms: f64,
+}
+
 struct Entry {
+    queue: PlacementQueue,
+    tickets: HashMap<TicketId, Attempted>,
+    /// Time of the scheduled pump in milliseconds.
+    pump_at: f64,
+    demand: RemoteDemand,
     in_flight: InFlightSends,
     seq: u64,
     load_pending: bool,
@@ -141,6 +170,8 @@
     policy: Policy,
     ids: Vec<EndpointId>,
     engines: Vec<Engine>,
+    /// Number of engines at the end of the list that are lost.
+    lost_engines: usize,
     entries: Vec<Entry>,
     arrivals: Vec<Arrival>,
     outcomes: Vec<Outcome>,
@@ -174,6 +205,10 @@
             ..EngineModel::default()
         };
         let entry = |_| Entry {
+            queue: PlacementQueue::default(),
+            tickets: HashMap::new(),
+            pump_at: f64::INFINITY,
+            demand: RemoteDemand::default(),
             in_flight: InFlightSends::default(),
             seq: 0,
             load_pending: false,
@@ -182,6 +217,8 @@
         };
         let outcome = |a: &Arrival| Outcome {
             kind: a.kind,
+            workspace: a.workspace,
+            prompt: a.prompt,
             at_ms: a.at_ms,
             value: a.value.0,
             ..Outcome::default()
@@ -192,6 +229,7 @@
             policy: Policy::default(),
             ids: (0..preset.engines).map(|n| EndpointId::new(format!("e{n:03}"))).collect(),
             engines: (0..preset.engines).map(|_| Engine::new(model.clone())).collect(),
+            lost_engines: 0,
             entries: (0..preset.entries).map(entry).collect(),
             outcomes: arrivals.iter().map(outcome).collect(),
             arrivals,
@@ -206,6 +244,10 @@
             let at = fleet.arrivals[request].at_ms;
             fleet.schedule_arrival(request, 0, at);
         }
+        if let Some((from, to)) = preset.engine_loss {
+            fleet.schedule(from, Event::LoseEngines);
+            fleet.schedule(to, Event::ReturnEngines);
+        }
         fleet
     }
 
@@ -219,15 +261,23 @@
             self.now = at;
             match event {
                 Event::Arrive { request, tries, entry, arrived_ms } => {
-                    self.arrive(request, tries, entry, arrived_ms);
+                    self.arrive(Attempted { request, tries, entry, arrived_ms });
                 }
                 Event::Reach { send, engine } => self.reach(send, engine),
                 Event::PassEnd { engine } => self.end_pass(engine),
                 Event::SendLoad { entry } => self.send_load(entry),
                 Event::ReceiveLoad { entry, load } => {
                     let now = self.moment();
+                    self.entries[entry].demand.apply_report(now, &load);
                     self.entries[entry].in_flight.apply_report(now, *load);
+                    self.notify_capacity(entry);
+                }
+                Event::Pump { entry } => {
+                    self.entries[entry].pump_at = f64::INFINITY;
+                    self.pump(entry);
                 }
+                Event::LoseEngines => self.lose_engines(),
+                Event::ReturnEngines => self.lost_engines = 0,
                 Event::GiveUp { send } => self.give_up(send),
             }
         }
@@ -249,10 +299,95 @@
     }
 
     /// Lets an entry place a request that arrived there at `arrived_ms`.
-    fn arrive(&mut self, request: usize, tries: u32, entry: usize, arrived_ms: f64) {
+    fn arrive(&mut self, req: Attempted) {
+        if !self.preset.has_priorities || !self.policy.placement_queue {
+            self.attempt(req, None);
+            return;
+        }
+        let queued = self.queued_request(&req);
+        let entry = &mut self.entries[req.entry];
+        let ticket = entry.queue.enter(queued);
+        entry.tickets.insert(ticket, req);
+        self.pump(req.entry);
+    }
+
+    fn queued_request(&self, req: &Attempted) -> QueuedRequest {
+        let arrival = &self.arrivals[req.request];
+        let kind = &self.preset.kinds[arrival.kind];
+        let moment = |ms: f64| Duration::from_secs_f64(1000.0 + ms / 1000.0);
+        QueuedRequest {
+            priority: arrival.kind as u32,
+            workspace: format!("w{}", arrival.workspace).into(),
+            prompt_parts: Vec::new(),
+            arrived_at: moment(req.arrived_ms),
+            objective_at: moment(req.arrived_ms + kind.objective_ms),
+            deadline: moment(arrival.at_ms + kind.patience_ms),
+            prefill_ms: self.model.prefill_ms(arrival.prompt),
+            value: value(arrival.prompt, u64::from(arrival.events * self.preset.stride)),
+        }
+    }
+
+    /// Does what the queue of an entry asks for, and schedules its next round.
+    fn pump(&mut self, entry: usize) {
+        let now = self.moment();
+        let had_demand = !self.entries[entry].queue.is_empty();
+        while let Some(step) = self.entries[entry].queue.next(now) {
+            match step {
+                Step::Try(ticket) => {
+                    let req = self.entries[entry].tickets[&ticket];
+                    let is_behind = self.entries[entry].queue.is_behind(now, ticket);
+                    let queued = self.queued_request(&req);
+                    let demand = self.entries[entry].demand.ahead_of(
+                        now,
+                        "engines",
+                        queued.priority,
+                        queued.length_class(),
+                    );
+                    let order = OrderContext { priority: queued.priority, demand, is_behind };
+                    let result = self.attempt(req, Some((ticket, order)));
+                    self.entries[entry].queue.record(now, ticket, result);
+                    if result != Attempt::Waits {
+                        self.entries[entry].tickets.remove(&ticket);
+                    }
+                }
+                Step::Refuse { ticket, retry_after_ms, .. } => {
+                    let Some(req) = self.entries[entry].tickets.remove(&ticket) else { continue };
+                    let left = self.left_ms(&req);
+                    self.refuse(req.request, req.tries, retry_after_ms.max(100.0), left);
+                }
+            }
+        }
+        let queue = &self.entries[entry].queue;
+        if had_demand || !queue.is_empty() {
+            self.mark_changed(entry);
+        }
+        let queue = &self.entries[entry].queue;
+        if let Some(at) = queue.next_round_at() {
+            let at = (at.as_secs_f64() - 1000.0) * 1000.0;
+            let at = at.max(self.now + 1.0);
+            if at < self.entries[entry].pump_at {
+                self.entries[entry].pump_at = at;
+                self.schedule(at, Event::Pump { entry });
+            }
+        }
+    }
+
+    fn notify_capacity(&mut self, entry: usize) {
+        if !self.entries[entry].queue.is_empty() {
+            self.entries[entry].queue.notify_capacity();
+            self.pump(entry);
+        }
+    }
+
+    fn left_ms(&self, req: &Attempted) -> f64 {
+        self.kind(req.request).patience_ms - (self.now - self.arrivals[req.request].at_ms)
+    }
+
+    /// Decides about a request; one without a ticket that waits polls.
+    fn attempt(&mut self, at: Attempted, place: Option<(TicketId, OrderContext)>) -> Attempt {
+        let Attempted { request, tries, entry, arrived_ms } = at;
         let arrival = &self.arrivals[request];
         let kind = &self.preset.kinds[arrival.kind];
-        let waited = self.now - arrival.at_ms;
         let mut req = PlacementRequest {
             request_hash: request as u64,
             prompt_tokens: arrival.prompt,
@@ -262,13 +397,13 @@
             route_objective_ms: kind.objective_ms,
             waited_ms: self.now - arrived_ms,
             pause_limit_ms: kind.pause_limit_ms,
-            remaining_ms: kind.patience_ms - waited,
+            remaining_ms: self.left_ms(&at),
             smoothed_backlog_ms: 0.0,
             is_retry: tries > 0,
         };
         let now = self.moment();
-        let Entry { in_flight, smoothed_backlog, .. } = &mut self.entries[entry];
-        let indices: Vec<usize> = (0..self.ids.len()).collect();
+        let Entry { in_flight, smoothed_backlog, queue, .. } = &mut self.entries[entry];
+        let indices: Vec<usize> = (0..self.ids.len() - self.lost_engines).collect();
         let drawn: Vec<usize> = draw_candidates(&indices, req.request_hash).copied().collect();
         let ids = drawn.iter().map(|at| &self.ids[*at]);
         let complete = |_, state: &mut EngineState| state.round_trip_ms = 2.0 * LATENCY_MS;
@@ -279,27 +414,68 @@
         } else {
             smoothed_backlog.record_due(now, backlog)
         };
+        queue.set_capacity(Capacity { engines: drawn.len(), backlog_ms: req.smoothed_backlog_ms });
+        let (model, rng) = (&self.model, &mut self.rng);
+        let order = place.map(|(_, order)| order);
         let decided =
-            self.router.decide(&self.policy, &self.model, &engines, &req, request, &mut self.rng);
+            self.router.decide(&self.policy, model, &engines, &req, order.as_ref(), request, rng);
         match decided {
             Decision::Send(mut plan) => {
                 plan.primary = drawn[plan.primary];
                 plan.helpers.iter_mut().for_each(|h| h.index = drawn[h.index]);
                 let sends_made = plan.sends_to(|index| &self.ids[index], &req, now);
                 self.send(request, entry, plan, sends_made);
+                return Attempt::Placed;
             }
+            Decision::Wait(_) if place.is_some() => return Attempt::Waits,
             Decision::Wait(ms) => {
                 self.schedule(self.now + ms, Event::Arrive { request, tries, entry, arrived_ms });
+                return Attempt::Waits;
             }
             Decision::Refuse { retry_after_ms, .. } => {
                 self.refuse(request, tries, retry_after_ms.max(100.0), req.remaining_ms);
             }
             Decision::TooLarge => self.refuse(request, tries, 1000.0, req.remaining_ms),
         }
+        Attempt::Refused
+    }
+
+    /// Loses a third of the engines. The entries send their requests again.
+    fn lose_engines(&mut self) {
+        self.lost_engines = self.engines.len() / 3;
+        let first_lost = self.engines.len() - self.lost_engines;
+        for engine in &mut self.engines[first_lost..] {
+            *engine = Engine::new(self.model.clone());
+        }
+        let is_lost = |s: &Send| {
+            let helpers = s.plan.helpers.iter().map(|h| h.index);
+            helpers.chain([s.plan.primary]).any(|index| index >= first_lost)
+        };
+        let mut lost: Vec<SendId> =
+            self.sends.iter().filter(|(_, s)| is_lost(s)).map(|(id, _)| *id).collect();
+        lost.sort_unstable();
+        for send in lost {
+            let (request, entry) = (self.sends[&send].request, self.sends[&send].entry);
+            self.remove_from_engines(send);
+            self.finish(send, false);
+            let arrived_ms = self.arrivals[request].at_ms;
+            let at = self.now + LATENCY_MS;
+            self.schedule(at, Event::Arrive { request, tries: 1, entry, arrived_ms });
+        }
+    }
+
+    fn remove_from_engines(&mut self, send: SendId) {
+        let plan = &self.sends[&send].plan;
+        let engines: Vec<usize> =
+            std::iter::once(plan.primary).chain(plan.helpers.iter().map(|h| h.index)).collect();
+        for engine in engines {
+            self.engines[engine].remove_send(send);
+        }
     }
 
     fn refuse(&mut self, request: usize, tries: u32, after: f64, left: f64) {
         self.outcomes[request].refusals += 1;
+        self.outcomes[request].refused_ms = Some(self.now - self.arrivals[request].at_ms);
         let after = (after * self.rng.random_range(0.7..1.4)).min(left * RETRY_AFTER_SHARE);
         if tries == 0 {
             self.schedule_arrival(request, 1, self.now + after);
@@ -390,15 +566,18 @@
         let Some(s) = self.sends.get_mut(&send) else { return };
         let outcome = &mut self.outcomes[s.request];
         let waited = self.now + LATENCY_MS - outcome.at_ms;
-        match s.last_event_ms {
+        // A stream that was sent again goes on from its last event.
+        match outcome.last_event_ms {
             None => outcome.first_ms = Some(waited),
             Some(at) => outcome.pause_ms = outcome.pause_ms.max(self.now - at),
         }
+        outcome.last_event_ms = Some(self.now);
         let starts = s.last_event_ms.is_none();
         let moment = Duration::from_secs_f64(1000.0 + self.now / 1000.0);
         s.last_event_ms = Some(self.now);
         let kind = &self.preset.kinds[outcome.kind];
-        let late = waited > kind.objective_ms && starts || outcome.pause_ms > kind.pause_limit_ms;
+        let first_late = outcome.first_ms.is_some_and(|first| first > kind.objective_ms);
+        let late = first_late && starts || outcome.pause_ms > kind.pause_limit_ms;
         let in_flight = &mut self.entries[s.entry].in_flight;
         in_flight.add_output(moment, s.keys[0], u64::from(self.preset.stride));
         if let Some(f) = in_flight.get_mut(s.keys[0]).filter(|_| late) {
@@ -413,6 +592,15 @@
         let entry = s.entry;
         if starts || late {
             self.mark_changed(entry);
+            self.wake(entry);
+        }
+    }
+
+    /// Lets the queue of an entry begin a round soon, because a send of the entry changed.
+    fn wake(&mut self, entry: usize) {
+        if !self.entries[entry].queue.is_empty() {
+            self.entries[entry].queue.notify_capacity();
+            self.schedule(self.now, Event::Pump { entry });
         }
     }
 
@@ -421,11 +609,7 @@
         if s.last_event_ms.is_some() {
             return;
         }
-        let engines: Vec<usize> =
-            std::iter::once(s.plan.primary).chain(s.plan.helpers.iter().map(|h| h.index)).collect();
-        for engine in engines {
-            self.engines[engine].remove_send(send);
-        }
+        self.remove_from_engines(send);
         self.finish(send, false);
     }
 
@@ -436,6 +620,7 @@
             self.entries[s.entry].in_flight.remove(now, key);
         }
         self.mark_changed(s.entry);
+        self.wake(s.entry);
         let outcome = &mut self.outcomes[s.request];
         let kind = &self.preset.kinds[outcome.kind];
         outcome.whole = whole;
@@ -465,6 +650,7 @@
         e.load_pending = false;
         e.seq += 1;
         let changes = e.in_flight.take_changes(now);
+        let classes = e.queue.demand(now, "engines");
         let load = SharedLoad {
             node: format!("n{entry}"),
             incarnation: 1,
@@ -472,6 +658,7 @@
             flights: changes.flights,
             ended: changes.ended,
             partial: true,
+            demand: (!classes.is_empty()).then_some(Demand { classes }),
             ..SharedLoad::default()
         };
         let bytes = (load.encoded_len() + DATAGRAM_OVERHEAD_BYTES) * (self.entries.len() - 1);
--- a/tests/emulator/load.rs
+++ b/tests/emulator/load.rs
@@ -3,6 +3,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+/// Number of workspaces.
+pub const WORKSPACES: usize = 5;
+
+/// Fraction of the requests that the largest workspace sends.
+const LARGEST_WORKSPACE_SHARE: f64 = 0.6;
+
 /// A kind of request.
 #[derive(Clone, Debug)]
 pub struct Kind {
@@ -56,6 +62,10 @@
     pub kinds: [Kind; 3],
     /// Consecutive phases of the load.
     pub phases: Vec<Phase>,
+    /// Whether the kinds have priorities: 0 for short, 1 for medium, 2 for long prompts.
+    pub has_priorities: bool,
+    /// From when until when a third of the engines is lost, in milliseconds.
+    pub engine_loss: Option<(f64, f64)>,
 }
 
 /// One request of a load.
@@ -69,6 +79,8 @@
     pub prompt: u64,
     /// Number of events in the response.
     pub events: u32,
+    /// Workspace of the caller; the first one sends [`LARGEST_WORKSPACE_SHARE`] of the requests.
+    pub workspace: usize,
     /// Value if the request is in time, and if it is late.
     pub value: (f64, f64),
 }
@@ -109,6 +121,8 @@
             kind("long", 0.922, long.0, long.1, 3_000.0, 800.0, 15_000.0, (22.0, 5.4)),
         ],
         phases: phases_by_kind(),
+        has_priorities: false,
+        engine_loss: None,
     }
 }
 
@@ -162,6 +176,41 @@
     preset
 }
 
+/// 45 engines in front of 28 entries whose routes have priorities, at `times` the usual load for 16 s
+/// after 3 s at the usual load.
+pub fn contended(times: f64) -> Preset {
+    let mut preset = grown();
+    preset.name = "contended";
+    preset.entries = 28;
+    preset.has_priorities = true;
+    let [short, medium, long] = &mut preset.kinds;
+    (short.per_s, short.objective_ms, short.value) = (57.0, 250.0, (1.9, 0.19));
+    (medium.per_s, medium.objective_ms, medium.value) = (9.0, 1_500.0, (1.9, 0.48));
+    (long.per_s, long.objective_ms, long.value) = (1.6, 8_000.0, (11.0, 4.1));
+    long.patience_ms = 24_000.0;
+    let phase = |length_ms, factors| Phase { length_ms, factors };
+    preset.phases = vec![phase(3_000.0, [1.0; 3]), phase(16_000.0, [times; 3])];
+    preset
+}
+
+/// The same deployment with a burst of short and one of medium prompts and the loss of a third of the
+/// engines for 5 s, at `times` the usual load.
+pub fn contended_bursts(times: f64) -> Preset {
+    let mut preset = contended(times);
+    preset.name = "contended bursts";
+    let phase =
+        |length_ms, factors: [f64; 3]| Phase { length_ms, factors: factors.map(|f| f * times) };
+    preset.phases = vec![
+        phase(3_000.0, [1.0; 3]),
+        phase(4_000.0, [2.0, 1.0, 1.0]),
+        phase(3_000.0, [1.0; 3]),
+        phase(4_000.0, [1.0, 1.5, 1.0]),
+        phase(12_000.0, [1.0; 3]),
+    ];
+    preset.engine_loss = Some((17_000.0, 22_000.0));
+    preset
+}
+
 /// The same engines and kinds of request at a share of the size: `part` of the engines, entries and
 /// arrivals.
 pub fn scaled(mut preset: Preset, part: f64) -> Preset {
@@ -206,6 +255,12 @@
         from += phase.length_ms;
     }
     arrivals.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x7e4a);
+    for arrival in &mut arrivals {
+        if rng.random_range(0.0..1.0f64) >= LARGEST_WORKSPACE_SHARE {
+            arrival.workspace = rng.random_range(1..WORKSPACES);
+        }
+    }
     arrivals
 }
 
@@ -221,6 +276,7 @@
         kind: at,
         prompt: prompt as u64,
         events: events.round() as u32,
+        workspace: 0,
         value: (kind.value.0 * factor, kind.value.1 * factor),
     }
 }
--- a/tests/emulator/router.rs
+++ b/tests/emulator/router.rs
@@ -3,7 +3,9 @@
 use bitternlead::gateway::placement::engine_model::EngineModel;
 use bitternlead::gateway::placement::engine_source::EngineSource;
 use bitternlead::gateway::placement::policy::Policy;
-use bitternlead::gateway::placement::{Decision, PlacementRequest, Plan, decide_among};
+use bitternlead::gateway::placement::{
+    Decision, OrderContext, PlacementRequest, Plan, decide_among,
+};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -31,6 +33,7 @@
         }
     }
 
+    #[allow(clippy::too_many_arguments)]
     /// Places one request; `turn` counts requests.
     pub fn decide(
         self,
@@ -38,12 +41,13 @@
         model: &EngineModel,
         engines: &impl EngineSource,
         req: &PlacementRequest,
+        order: Option<&OrderContext>,
         turn: usize,
         rng: &mut ChaCha8Rng,
     ) -> Decision {
         let count = engines.count();
         let primary = match self {
-            Self::Gateway => return decide_among(policy, model, engines, req),
+            Self::Gateway => return decide_among(policy, model, engines, req, order),
             Self::RoundRobin => turn % count,
             Self::LeastRequests => {
                 (0..count).min_by_key(|at| engines.all()[*at].request_count).unwrap_or_default()
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -420,7 +420,7 @@
         let states = build_states(&model, now, ids.iter(), known);
         let engines = KnownEngines::new(&model, now, ids.iter(), &in_flight, |_, _| {}, |_| 1.0);
         let req = PlacementRequest { request_hash, ..request(kind) };
-        let decided = decide_among(&policy, &model, &engines, &req);
+        let decided = decide_among(&policy, &model, &engines, &req, None);
         prop_assert_eq!(engines.short_streams(), states.short_streams());
         prop_assert_eq!(decided, decide(&policy, &model, &states, &req));
     }
