Expect of the room what undisturbed entries can use

Cause: a random scenario with two views used 0.24 of the bound where the test asked for 0.25 (6 entries, rate 3): of the four entries with a share one restarted and one was cut off. The fixed number was wrong for so small a fleet. Change: the test asks for 0.85 of what the undisturbed entries can use, and in the scenarios with fixed seeds for 0.35 of the bound, which is more than before.

--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -55,9 +55,10 @@
     cold
 }
 
-fn check_all_rates(entries: usize) {
-    for per_s in RATES {
-        check(Scenario { entries, per_s, ..Scenario::default() });
+fn check_rates(entries: usize, rates: &[f64]) {
+    for per_s in rates.iter().copied() {
+        let played = check(Scenario { entries, per_s, ..Scenario::default() });
+        assert!(played.used >= 0.35, "{:.2} of the bound is used", played.used);
     }
 }
 
@@ -66,31 +67,27 @@
 
 #[test]
 fn no_second_has_more_arrivals_than_the_bound_with_6_entries() {
-    check_all_rates(6);
+    check_rates(6, &RATES);
 }
 
 #[test]
 fn no_second_has_more_arrivals_than_the_bound_with_33_entries() {
-    check_all_rates(33);
+    check_rates(33, &RATES);
 }
 
 #[test]
 fn no_second_has_more_arrivals_than_the_bound_with_105_entries() {
-    check_all_rates(105);
+    check_rates(105, &RATES);
 }
 
 #[test]
 fn no_second_has_more_arrivals_than_the_bound_with_340_entries_at_low_rates() {
-    for per_s in [1.0, 3.0, 10.0] {
-        check(Scenario { entries: 340, per_s, ..Scenario::default() });
-    }
+    check_rates(340, &RATES[..3]);
 }
 
 #[test]
 fn no_second_has_more_arrivals_than_the_bound_with_340_entries_at_high_rates() {
-    for per_s in [26.0, 100.0] {
-        check(Scenario { entries: 340, per_s, ..Scenario::default() });
-    }
+    check_rates(340, &RATES[3..]);
 }
 
 /// Guards against an entry that joins while sends, claimed before the others knew it, still connect:
@@ -131,7 +128,7 @@
         let scenario = Scenario { entries, per_s, is_split, cuts_links, seed, ..Scenario::default() };
         // An entry whose links are cut does not see who joins until it notices that.
         if cuts_links {
-            check(scenario);
+            let _ = check(scenario);
         } else {
             check_shared_half(scenario);
         }
@@ -149,8 +146,8 @@
 }
 
 /// Plays a scenario and checks the arrivals at all endpoints: the bound, and that a good part of it is
-/// used. Returns the most arrivals in a second.
-fn check(scenario: Scenario) -> usize {
+/// used.
+fn check(scenario: Scenario) -> Outcome {
     let played = Fleet::new(scenario.clone()).play();
     let bound = bound(&scenario);
     let most = played.most_arrivals_in_a_second();
@@ -158,13 +155,23 @@
     let Scenario { entries, per_s, .. } = scenario;
     eprintln!("{entries} entries, {per_s} a second: most {most} of {bound}, mean {used:.2}");
     assert!(most <= bound, "{most} arrivals in a second, the bound is {bound}: {scenario:?}");
-    assert!(used >= 0.25, "only {used:.2} of the bound is used: {scenario:?}");
-    most
+    // In a second, entries to which nothing happens use their shares once in each window; a tenth of
+    // what they claim is not sent. In a small fleet half of the entries join, restart or are cut off.
+    let shared = (bound / 2) as f64 / bound as f64 / WINDOW.as_secs_f64();
+    let least = 0.85 * shared * scenario.undisturbed_share();
+    assert!(used >= least, "{used:.2} of the bound is used, not {least:.2}: {scenario:?}");
+    Outcome { most, used }
+}
+
+/// Most arrivals at an endpoint in a second, and the mean as a fraction of the bound.
+struct Outcome {
+    most: usize,
+    used: f64,
 }
 
 /// Checks in addition that the half of the bound that is not shared stays unused.
 fn check_shared_half(scenario: Scenario) {
-    let (most, half) = (check(scenario.clone()), bound(&scenario) / 2);
+    let (most, half) = (check(scenario.clone()).most, bound(&scenario) / 2);
     assert!(most <= half, "{most} arrivals in a second, {half} are shared: {scenario:?}");
 }
 
--- a/tests/cold/fleet.rs
+++ b/tests/cold/fleet.rs
@@ -71,6 +71,44 @@
     }
 }
 
+/// What happens to an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Undisturbed,
+    Joins,
+    Restarts,
+    LosesLinks,
+}
+
+impl Scenario {
+    fn fate(&self, entry: usize) -> Fate {
+        let count = (self.entries / 6).clamp(1, MAX_DISTURBED);
+        match entry / count {
+            0 => Fate::Joins,
+            1 => Fate::Restarts,
+            2 if self.cuts_links => Fate::LosesLinks,
+            _ => Fate::Undisturbed,
+        }
+    }
+
+    /// Replicas that an entry can reach while its links are not cut.
+    fn reachable(&self, entry: usize) -> [bool; REPLICAS] {
+        match (self.is_split, entry % 3) {
+            (false, _) => [true; REPLICAS],
+            (true, 0) => [false, false, true],
+            (true, _) => [true, true, false],
+        }
+    }
+
+    /// Fraction of the entries with a share to which nothing happens.
+    pub fn undisturbed_share(&self) -> f64 {
+        let has_share = |entry: &usize| self.reachable(*entry)[0];
+        let sharing: Vec<usize> = (0..self.entries).filter(has_share).collect();
+        let undisturbed = sharing.iter().filter(|e| self.fate(**e) == Fate::Undisturbed);
+        undisturbed.count() as f64 / sharing.len() as f64
+    }
+}
+
 /// Arrivals at each endpoint while it was cold.
 pub struct Played {
     arrivals: Vec<Vec<Moment>>,
@@ -252,14 +290,9 @@
     /// are cut off, of which half return.
     fn plan(&mut self) {
         let all = self.scenario.entries;
-        let disturbed = (all / 6).clamp(1, MAX_DISTURBED);
         for entry in 0..all {
             let cold = self.build_cold();
-            let reaches = match (self.scenario.is_split, entry % 3) {
-                (false, _) => [true; REPLICAS],
-                (true, 0) => [false, false, true],
-                (true, _) => [true, true, false],
-            };
+            let (reaches, fate) = (self.scenario.reachable(entry), self.scenario.fate(entry));
             self.entries.push(Entry {
                 cold,
                 runs: false,
@@ -269,17 +302,17 @@
                 last_update_ms: [0; REPLICAS],
                 listed: [false; REPLICAS],
             });
-            let joins = entry < disturbed;
+            let joins = fate == Fate::Joins;
             let start_ms = if joins { self.rng.random_range(DISTURBED_MS) } else { 0 };
             self.schedule(start_ms, entry, 0, Event::Start { link: reaches });
             let change_ms = self.rng.random_range(DISTURBED_MS);
-            if (disturbed..2 * disturbed).contains(&entry) {
+            if fate == Fate::Restarts {
                 let down_ms = self.rng.random_range(50..900);
                 self.schedule(change_ms, entry, 0, Event::Stop);
                 self.schedule(change_ms + down_ms, entry, 1, Event::Start { link: reaches });
-            } else if self.scenario.cuts_links && (2 * disturbed..3 * disturbed).contains(&entry) {
+            } else if fate == Fate::LosesLinks {
                 self.schedule(change_ms, entry, 0, Event::Cut);
-                if entry % 2 == 0 {
+                if entry.is_multiple_of(2) {
                     let cut_ms = self.rng.random_range(100..3500);
                     self.schedule(change_ms + cut_ms, entry, 0, Event::Restore);
                 }
@@ -472,12 +505,7 @@
                 }
             }
             Event::Restore => {
-                let is_split = self.scenario.is_split;
-                self.entries[entry].reaches = match (is_split, entry % 3) {
-                    (false, _) => [true; REPLICAS],
-                    (true, 0) => [false, false, true],
-                    (true, _) => [true, true, false],
-                };
+                self.entries[entry].reaches = self.scenario.reachable(entry);
                 self.connect(now_ms + MAX_NOTICE_MS, entry);
             }
         }
