--- a/tests/heavy_days.rs
+++ b/tests/heavy_days.rs
@@ -4,8 +4,11 @@
 mod emulator;
 
 use bitternlead::gateway::placement::policy::Policy;
+use emulator::fleet::Outcome;
 use emulator::fleet::{Summary, run_load, run_policy, summarize};
-use emulator::load::{Preset, large, scaled, shortened, small, with_burst};
+use emulator::load::{
+    Preset, WORKSPACES, contended, contended_bursts, large, scaled, shortened, small, with_burst,
+};
 use emulator::router::Router;
 
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -129,3 +132,88 @@
         assert!(part >= all - 0.05, "{name}: {part:.3} with a draw, {all:.3} with all engines");
     }
 }
+
+/// Outcomes of the contended deployment, a fifth of it in half of the time, with the queue and without.
+fn contended_runs(preset: &Preset) -> [Vec<Outcome>; 2] {
+    let preset = shortened(scaled(preset.clone(), 0.2), 0.5);
+    let without = Policy::without(&["placement-queue"]).unwrap();
+    [Policy::default(), without].map(|policy| {
+        let run = |seed| run_policy(&preset, Router::Gateway, seed, &policy);
+        SEEDS.into_iter().flat_map(run).collect()
+    })
+}
+
+/// Share of the outcomes that a condition selects for which another holds.
+fn share(
+    of: &[Outcome],
+    selects: impl Fn(&Outcome) -> bool,
+    holds: impl Fn(&Outcome) -> bool,
+) -> f64 {
+    let selected: Vec<&Outcome> = of.iter().filter(|f| selects(f)).collect();
+    selected.iter().filter(|f| holds(f)).count() as f64 / selected.len().max(1) as f64
+}
+
+fn is_in_time(f: &Outcome) -> bool {
+    f.earned >= f.value
+}
+
+/// Earned part of the value.
+fn value_share(of: &[Outcome]) -> f64 {
+    of.iter().map(|f| f.earned).sum::<f64>() / of.iter().map(|f| f.value).sum::<f64>()
+}
+
+/// Prints shares in time by priority and workspace, and the time until a refusal.
+fn print_shares(name: &str, of: &[Outcome]) {
+    let by_kind = [0, 1, 2].map(|kind| share(of, |f| f.kind == kind, is_in_time));
+    let by_workspace: Vec<f64> =
+        (0..WORKSPACES).map(|w| share(of, |f| f.workspace == w, is_in_time)).collect();
+    let mut refused: Vec<f64> = of.iter().filter_map(|f| f.refused_ms).collect();
+    refused.sort_by(f64::total_cmp);
+    let median = refused.get(refused.len() / 2);
+    println!(
+        "{name}: value {:.3}, in time by kind {by_kind:.3?}, by workspace {by_workspace:.3?}, \
+         {} refused, after {median:.0?} ms at the median",
+        value_share(of),
+        refused.len()
+    );
+}
+
+/// Requests that poll on their own are placed in the order of their polls, whatever their priority.
+#[test]
+fn the_queue_gives_callers_more_under_twice_and_four_times_the_load() {
+    for times in [2.0, 4.0] {
+        let [queued, polled] = contended_runs(&contended(times));
+        print_shares(&format!("x{times} queue"), &queued);
+        print_shares(&format!("x{times} today"), &polled);
+        assert!(value_share(&queued) > value_share(&polled));
+        let urgent = |of: &[Outcome]| share(of, |f| f.kind == 0, is_in_time);
+        assert!(urgent(&queued) > urgent(&polled));
+    }
+}
+
+#[test]
+fn the_queue_gives_callers_more_under_bursts_and_the_loss_of_engines() {
+    let [queued, polled] = contended_runs(&contended_bursts(1.5));
+    print_shares("bursts queue", &queued);
+    print_shares("bursts today", &polled);
+    assert!(value_share(&queued) > value_share(&polled));
+}
+
+/// The bounds of the requirement on starvation, at twice the load.
+#[test]
+fn no_kind_workspace_or_length_is_starved_in_the_queue() {
+    let [queued, _] = contended_runs(&contended(2.0));
+    let served = |selects: &dyn Fn(&Outcome) -> bool| share(&queued, selects, |f| f.whole);
+    let all = served(&|_| true);
+    for kind in 0..3 {
+        assert!(served(&|f| f.kind == kind) >= all / 4.0, "kind {kind}");
+    }
+    for workspace in 0..WORKSPACES {
+        assert!(served(&|f| f.workspace == workspace) >= all / 4.0, "workspace {workspace}");
+    }
+    let mut prompts: Vec<u64> = queued.iter().filter(|f| f.kind == 2).map(|f| f.prompt).collect();
+    prompts.sort_unstable();
+    let largest = prompts[prompts.len() * 9 / 10];
+    let (tenth, long) = (served(&|f| f.kind == 2 && f.prompt >= largest), served(&|f| f.kind == 2));
+    assert!(tenth >= long / 2.0, "{tenth:.2} of {long:.2}");
+}
