Test the queue on a deployment and when services have an order

A running entry with a queue refuses what waits when it is stopped, and a document gives a service an order only if it declares more than one priority.

--- a/tests/placement_queue.rs
+++ b/tests/placement_queue.rs
@@ -268,3 +268,32 @@
     remote.apply_report(ms(1_110), &report(4, 0));
     assert_eq!(ahead(&remote, 1_120, 2, 6), 0, "nothing waits there");
 }
+
+/// Whether the engines have an order, given the priorities of two routes and of a workspace.
+fn has_order(routes: [Option<u32>; 2], workspace: Option<u32>, public: bool) -> bool {
+    let route = |(index, prio): (usize, Option<u32>)| {
+        serde_json::json!({
+            "Name": "r", "Hostname": "site.example", "PathPrefix": format!("/{index}/"),
+            "Type": "streaming", "TimeoutMs": 1000, "Backend": "engines", "Prio": prio,
+            "Public": public,
+        })
+    };
+    let routes: Vec<_> = routes.into_iter().enumerate().map(route).collect();
+    let document = serde_json::json!({
+        "Version": 1, "Routes": routes, "Backends": [{ "Name": "engines" }],
+        "Tenants": [{ "Name": "w", "ApiKeys": ["k"], "Prio": workspace }],
+    });
+    let body = serde_json::to_vec(&document).unwrap();
+    bitternlead::platform::document::decode(&body).unwrap().has_order("engines")
+}
+
+/// All other services have to be served as before.
+#[test]
+fn only_services_with_more_than_one_declared_priority_have_an_order() {
+    assert!(has_order([Some(0), Some(2)], None, false));
+    assert!(has_order([Some(1), None], Some(0), false));
+    assert!(!has_order([Some(1), Some(1)], Some(1), false));
+    assert!(!has_order([None, Some(2)], None, false));
+    assert!(!has_order([None, None], Some(2), false));
+    assert!(!has_order([Some(1), Some(1)], Some(0), true), "public routes know no workspace");
+}
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -293,7 +293,23 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stop_refuses_waiting_requests_at_once_and_unrun() {
-    let fixture = start_fixture(1).await;
+    check_stop_with_waiting_requests(&start_fixture(1).await).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_refuses_what_waits_in_the_order_of_a_service_at_once_and_unrun() {
+    let mut fixture = start_fixture(1).await;
+    let mut document = fixture.nodes.document();
+    document["Routes"][0]["Prio"] = 0.into();
+    fixture.nodes.put(&document).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    check_stop_with_waiting_requests(&fixture).await;
+    let queued = fixture.nodes.entries[0].log_lines("E640");
+    assert!(!queued.is_empty(), "none waited in the queue");
+}
+
+/// Stops an entry while some requests wait there.
+async fn check_stop_with_waiting_requests(fixture: &Fixture) {
     fixture.engines.iter().for_each(|s| s.set(ServerMode::Stalls));
     let addr = fixture.nodes.callers_address(0);
     let first_attempt = || {
