Count endpoints as cold before their zone's drain ends, and give stand-ins their test's address

The cold time that is assumed at the end of a drain was recorded after the drain had ended, so that a send could come between.

--- a/examples/stand_in/main.rs
+++ b/examples/stand_in/main.rs
@@ -4,7 +4,7 @@
 mod engine_http;
 mod service;
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +24,9 @@
     /// number of services (0)
     #[argh(option, default = "0")]
     services: usize,
+    /// address to listen on (127.0.0.1)
+    #[argh(option, default = "Ipv4Addr::LOCALHOST")]
+    host: Ipv4Addr,
     /// port of the first engine; the others use the ports after it (0: any free port)
     #[argh(option, default = "0")]
     port: u16,
@@ -70,7 +73,7 @@
     let mut ready = Vec::new();
     for number in 0..options.engines + options.services {
         let port = if options.port == 0 { 0 } else { options.port + number as u16 };
-        let (listener, addr) = bind(SocketAddr::from(([127, 0, 0, 1], port))).await?;
+        let (listener, addr) = bind(SocketAddr::from((options.host, port))).await?;
         let (name, router) = if number < options.engines {
             let engine = EmulatedEngine::start(cfg.clone());
             (format!("engine-{number}"), engine_http::build_router(engine))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -238,13 +238,17 @@
     /// Applies and logs the drained zones that the control replica `from` reported.
     pub fn apply_zone_drains(&self, update: &wire::ZoneDrains, from: &str) {
         let mut drains = self.zone_drains.lock();
-        let changes = drains.apply(boot_now(), update);
+        let now = boot_now();
+        let changes = drains.apply(now, update);
+        // Before anything can be sent to the zone again: its endpoints may be cold.
+        for change in &changes {
+            if let ZoneDrainChange::Ended(zone) = change {
+                self.cold.lock().record_drain_end(zone, now);
+            }
+        }
         self.metrics.zones_drained.set(drains.len() as i64);
         drop(drains);
         for change in changes {
-            if let ZoneDrainChange::Ended(zone) = &change {
-                self.cold.lock().record_drain_end(zone, boot_now());
-            }
             let (zone, is_drained) = match &change {
                 ZoneDrainChange::Started(zone) => (zone.as_str(), true),
                 ZoneDrainChange::Ended(zone) => (zone.as_str(), false),
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -305,6 +305,7 @@
 
     fn start_stand_in(&mut self, at: usize) {
         let cfg = &self.cfg;
+        let addr = free_address();
         let mut command = vec![
             stand_in().to_str().unwrap().to_owned(),
             "--services".into(),
@@ -319,8 +320,10 @@
             cfg.speed.to_string(),
             "--service-delay-ms".into(),
             cfg.service_delay_ms.to_string(),
+            "--host".into(),
+            addr.ip().to_string(),
             "--port".into(),
-            free_address().port().to_string(),
+            addr.port().to_string(),
             "--orders-file".into(),
             self.path(&format!("orders-{at}")),
             "--runs-file".into(),
