--- a/src/gateway/eligibility/endpoint_limits.rs
+++ b/src/gateway/eligibility/endpoint_limits.rs
@@ -224,7 +224,7 @@
     }
 
     /// Builds the report for other entries: the limits and the sends of this entry that changed
-    /// lately, and every [`REFRESH_INTERVAL`] the others, at most [`MAX_REPORTED`] in total.
+    /// lately, and every `REFRESH_INTERVAL` the others, at most `MAX_REPORTED` in total.
     pub fn report(&mut self, now: Moment) -> Vec<EndpointLimit> {
         let age = |at: Moment| now.saturating_sub(at);
         let is_new = |state: &LimitState| age(state.changed_at) <= REPEAT_TIME;
--- a/src/gateway/load/moving_average.rs
+++ b/src/gateway/load/moving_average.rs
@@ -29,7 +29,7 @@
 }
 
 impl MovingAverage {
-    /// Adds a sample if the last one is older than [`SAMPLE_INTERVAL`], and returns the average.
+    /// Adds a sample if the last one is older than `SAMPLE_INTERVAL`, and returns the average.
     pub fn record_due(&mut self, now: Moment, sample: impl FnOnce() -> f64) -> f64 {
         if now.saturating_sub(self.sampled_at) < SAMPLE_INTERVAL {
             return self.value;
--- a/src/gateway/placement/demand.rs
+++ b/src/gateway/placement/demand.rs
@@ -16,8 +16,8 @@
 /// Maximum number of classes in a report; it bounds the datagram.
 pub const MAX_CLASSES: usize = 24;
 
-/// Prefill backlog up to which an engine has time to spare, in milliseconds. It is half of the
-/// shortest objective, so that what waits elsewhere would still be in time there.
+/// Prefill backlog up to which an engine has time to spare, in milliseconds. A short prompt behind it
+/// still has its first token within a quarter of a second.
 const SPARE_BACKLOG_MS: f64 = 125.0;
 
 /// Demand that a request has to leave capacity for.
--- a/src/gateway/placement/fleet_sample.rs
+++ b/src/gateway/placement/fleet_sample.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of endpoints up to which a request looks at all of them. A decision about so many takes
-/// less than a millisecond, and fleets of up to 112 engines were tuned with all of them.
+/// about a millisecond.
 pub const MAX_CANDIDATES: usize = 128;
 
 /// Returns the endpoints that a request with this hash looks at: all, or [`MAX_CANDIDATES`] of them.
--- a/src/gateway/placement/queue_order.rs
+++ b/src/gateway/placement/queue_order.rs
@@ -6,8 +6,8 @@
 use super::value::LATE_LOSS_SHARE;
 use crate::ids::Moment;
 
-/// Factor on the benefit of a request for each level of priority. With it the benefits of the three
-/// routes of the contended deployment have the proportions that its operators state (1.9, 1.9 and 11).
+/// Factor on the benefit of a request for each level of priority: a request counts twice as much as an
+/// equal one of the next level, so that much more benefit still outweighs a level.
 const PRIORITY_FACTOR: f64 = 0.5;
 
 /// Lowest priority with a factor of its own.
