--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -145,13 +145,13 @@
         findings
     }
 
-    /// Records that a route to this service, or a workspace that may use it, declares a priority.
+    /// Records that a streaming route to this service declares a priority.
     pub fn declare_priority(&mut self, service: &SmolStr, priority: u32) {
         self.declared_priorities.entry(service.clone()).or_default().insert(priority);
     }
 
-    /// Whether the routes to this service and the workspaces that may use it declare more than one
-    /// priority, so that its requests wait in one order.
+    /// Whether the streaming routes to this service declare more than one priority, so that its requests
+    /// wait in one order.
     ///
     /// ```
     /// use bitternlead::gateway::config::GatewayConfig;
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -177,11 +177,9 @@
         let place = Place::Whole(format!("Routes[{index}] {}", route.name));
         let decoded = decode_route(route, &config, &place, &mut findings);
         add_named_regions(&mut config, &place, &route.allowed_regions);
-        for (service, _) in &decoded.targets {
-            let of_route = route.prio.iter();
-            let workspaces = document.tenants.iter().flatten().filter(|_| !route.public);
-            for priority in of_route.chain(workspaces.filter_map(|w| w.prio.as_ref())) {
-                config.declare_priority(service, *priority);
+        if decoded.streams && route.prio.is_some() {
+            for (service, _) in &decoded.targets {
+                config.declare_priority(service, decoded.priority);
             }
         }
         if !config.add_route(decoded) {
