Move the sends of a request out of the shared state

state.rs held the counting of a request's sends and their claims on cold endpoints beside the state that all tasks share. Two labels printed by a test name what they compare.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -25,7 +25,7 @@
 use super::queueing::{QueuePlace, Turn};
 use super::reservation::Reservation;
 use super::responses::default_retry_after;
-use super::state::InFlightGuard;
+use super::tracked_sends::InFlightGuard;
 use crate::clock::boot_now;
 use crate::event;
 use crate::ids::{Moment, ZoneName};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,3 +30,4 @@
 pub mod state;
 pub mod stream_progress;
 pub mod stream_window;
+pub mod tracked_sends;
--- a/tests/heavy_days.rs
+++ b/tests/heavy_days.rs
@@ -184,7 +184,7 @@
     for times in [2.0, 4.0] {
         let [queued, polled] = contended_runs(&contended(times));
         print_shares(&format!("x{times} queue"), &queued);
-        print_shares(&format!("x{times} today"), &polled);
+        print_shares(&format!("x{times} polling"), &polled);
         assert!(value_share(&queued) > value_share(&polled));
         let urgent = |of: &[Outcome]| share(of, |f| f.kind == 0, is_in_time);
         assert!(urgent(&queued) > urgent(&polled));
@@ -195,7 +195,7 @@
 fn the_queue_gives_callers_more_under_bursts_and_the_loss_of_engines() {
     let [queued, polled] = contended_runs(&contended_bursts(1.5));
     print_shares("bursts queue", &queued);
-    print_shares("bursts today", &polled);
+    print_shares("bursts polling", &polled);
     assert!(value_share(&queued) > value_share(&polled));
 }
 
