Soak: cold engines and drained zones

The soak knew neither. Engines that start during a run, and some that run, are cold for 3 s at one request a second, and the operator drains a zone now and then. New checks: no more than the bound in any second at a cold engine, and nothing in a drained zone 2 s after the acknowledgement, each shown to find a broken history and to pass a sound one. Slow readers are not part of it.

--- a/tests/soak/bites.rs
+++ b/tests/soak/bites.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use crate::checks;
-use crate::history::{AckedChange, Disturbance, End, History, Kind, Outcome, Probe, Target};
+use crate::history::{
+    AckedChange, Disturbance, End, History, Kind, Outcome, Probe, Target, ZoneDrain,
+};
 use crate::servers::Run;
 
 fn run(request: &str, server: &str, at: Instant) -> Run {
@@ -115,6 +117,35 @@
     assert!(checks::check_drains(&history, &arrival(1500)).is_empty());
 }
 
+#[test]
+fn a_cold_server_with_too_many_requests_in_a_second_is_found() {
+    let (history, at) = (History::default(), start());
+    history.cold.lock().push(("engine-1".into(), at, at + seconds(3)));
+    let arrivals = |count: u64, every_ms: u64| -> Vec<Run> {
+        let at_ms = |n| at + Duration::from_millis(500 + n * every_ms);
+        (0..count).map(|n| run("r-1", "engine-1", at_ms(n))).collect()
+    };
+    assert_eq!(checks::check_cold(&history, &arrivals(7, 100)).len(), 1);
+    assert!(checks::check_cold(&history, &arrivals(6, 100)).is_empty());
+    assert!(checks::check_cold(&history, &arrivals(9, 250)).is_empty());
+}
+
+#[test]
+fn a_request_in_a_drained_zone_is_found_unless_an_entry_was_disturbed() {
+    let (history, at) = (History::default(), start());
+    history.zones.lock().insert("engine-1".into(), "zone-b");
+    let drain = ZoneDrain { zone: "zone-b", acked_at: at, until: at + seconds(4) };
+    history.zone_drains.lock().push(drain);
+    let arrival = |after| [run("r-1", "engine-1", at + Duration::from_millis(after))];
+    assert_eq!(checks::check_zone_drains(&history, &arrival(2500)).len(), 1);
+    assert!(checks::check_zone_drains(&history, &arrival(1500)).is_empty());
+    assert!(checks::check_zone_drains(&history, &arrival(4500)).is_empty());
+    let until = Some(at + seconds(1));
+    let frozen = Disturbance { target: Target::Entry(0), from: at, until, restarts: false };
+    history.disturbances.lock().push(frozen);
+    assert!(checks::check_zone_drains(&history, &arrival(2500)).is_empty());
+}
+
 #[test]
 fn a_change_that_is_not_in_force_or_taken_back_is_found() {
     let at = start();
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -27,6 +27,15 @@
 const CRASH_CONTACT: Duration = Duration::from_secs(3);
 const MOST_LATE_CRASHING: usize = 3;
 
+/// Requests per second that a cold server handles, in the document of the run, and the bound on what it
+/// gets in any second: one and a half times that, and five.
+pub const COLD_PER_S: f64 = 1.0;
+const COLD_BOUND: f64 = 1.5 * COLD_PER_S + 5.0;
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
+/// Time after the acknowledgement of a zone's drain from which its servers get nothing.
+pub const ZONE_DRAIN_LIMIT: Duration = Duration::from_millis(2000);
+
 /// Window, ratio and slack of the retry budget in the settings of the deployment.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 const BUDGET_RATIO: f64 = 0.2;
@@ -43,6 +52,8 @@
     findings.extend(check_final_in_time(history, &outcomes));
     findings.extend(check_leaving(history, &outcomes, &runs, &disconnects));
     findings.extend(check_drains(history, &runs));
+    findings.extend(check_cold(history, &runs));
+    findings.extend(check_zone_drains(history, &runs));
     findings.extend(check_configuration(history));
     findings.extend(check_limits(history, &runs));
     findings.extend(check_budget(&outcomes, &runs));
@@ -241,6 +252,44 @@
     findings
 }
 
+/// A cold server gets no more than its bound in any second, whatever happens to the entries.
+pub fn check_cold(history: &History, runs: &[Run]) -> Vec<String> {
+    let mut findings = Vec::new();
+    for (server, from, until) in history.cold.lock().iter() {
+        let at_server = runs.iter().filter(|r| r.server == *server);
+        let times: Vec<Instant> =
+            at_server.map(|r| r.at).filter(|at| at >= from && at < until).collect();
+        let count_from = |first: &Instant| {
+            times.iter().filter(|at| **at >= *first && **at < *first + COLD_WINDOW).count()
+        };
+        let most = times.iter().map(count_from).max().unwrap_or(0) as f64;
+        if most > COLD_BOUND {
+            findings.push(format!("cold: {server} got {most} of {COLD_BOUND:.1} in a second"));
+        }
+    }
+    findings
+}
+
+/// Nothing is sent to the servers of a drained zone by entries that were not disturbed.
+pub fn check_zone_drains(history: &History, runs: &[Run]) -> Vec<String> {
+    let zones = history.zones.lock();
+    let mut findings = Vec::new();
+    for drain in history.zone_drains.lock().iter() {
+        let due = drain.acked_at + ZONE_DRAIN_LIMIT;
+        let in_zone = runs.iter().filter(|r| zones.get(&r.server) == Some(&drain.zone));
+        for run in in_zone.filter(|r| r.at > due && r.at < drain.until) {
+            if history.was_calm(None, drain.acked_at, run.at) {
+                let after = run.at - drain.acked_at;
+                findings.push(format!(
+                    "zone drain: {} at {} {after:?} after the drain of {}",
+                    run.request, run.server, drain.zone
+                ));
+            }
+        }
+    }
+    findings
+}
+
 /// Requests are sent again within the budget that all entries share.
 pub fn check_budget(outcomes: &[Outcome], runs: &[Run]) -> Vec<String> {
     let mut findings = Vec::new();
--- a/tests/soak/conductor.rs
+++ b/tests/soak/conductor.rs
@@ -30,6 +30,16 @@
 /// Time that a server serves after its leave was acknowledged.
 const DRAIN_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which an engine is cold that starts during the run.
+const COLD_TIME: Duration = Duration::from_secs(3);
+
+/// Time until all entries know that an engine became cold without a start: its announcements come every
+/// 300 ms.
+const COLD_NEWS_TIME: Duration = Duration::from_secs(1);
+
+/// Availability zone that the operator drains; every third server is there.
+pub const DRAINED_ZONE: &str = "zone-b";
+
 /// Numbers of servers of each service.
 const ENGINES: usize = 4;
 const ORDERS: usize = 3;
@@ -85,7 +95,19 @@
         let addr = self.nodes.server_address(number);
         let control = (0..self.nodes.controls.len()).map(|at| self.nodes.operators_address(at));
         let id = format!("{kind}-{number}");
-        let server = Server::start(&id, service, addr, control.collect(), &self.records).await;
+        let is_cold = service == "engines" && number >= ENGINES + ORDERS;
+        let control = control.collect();
+        let server = if is_cold {
+            let now = Instant::now();
+            self.history.count("cold start");
+            self.history.cold.lock().push((id.clone(), now, now + COLD_TIME));
+            Server::start_cold(&id, service, addr, control, &self.records, COLD_TIME).await
+        } else if number.is_multiple_of(3) {
+            self.history.zones.lock().insert(id.clone(), DRAINED_ZONE);
+            Server::start_in(DRAINED_ZONE, &id, service, addr, control, &self.records).await
+        } else {
+            Server::start(&id, service, addr, control, &self.records).await
+        };
         self.servers.push(server);
     }
 
@@ -205,7 +227,13 @@
             return;
         }
         let now = Instant::now();
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..9) {
+            8 if service == "engines" => {
+                self.history.count("cold again");
+                let from = now + COLD_NEWS_TIME;
+                self.history.cold.lock().push((id, from, now + COLD_TIME));
+                self.servers[at].set_cold(COLD_TIME);
+            }
             0 | 1 => {
                 self.history.count("drain");
                 let controls = 0..self.nodes.controls.len();
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -94,6 +94,14 @@
 /// Time after a disturbance in which time bounds do not hold.
 const CONTACT: Duration = Duration::from_secs(4);
 
+/// A drain of an availability zone, from its acknowledgement until the operator began to end it.
+#[derive(Clone, Copy, Debug)]
+pub struct ZoneDrain {
+    pub zone: &'static str,
+    pub acked_at: Instant,
+    pub until: Instant,
+}
+
 /// Records of a run.
 #[derive(Default)]
 pub struct History {
@@ -105,6 +113,11 @@
     pub drains: Mutex<Vec<(String, Instant)>>,
     /// Servers that named a limit, from when, and until when.
     pub limits: Mutex<Vec<(String, f64, Instant, Instant)>>,
+    /// Servers that were cold, from when, and until when.
+    pub cold: Mutex<Vec<(String, Instant, Instant)>>,
+    /// Availability zones of the servers.
+    pub zones: Mutex<BTreeMap<String, &'static str>>,
+    pub zone_drains: Mutex<Vec<ZoneDrain>>,
     /// Numbers of faults and planned events by kind.
     pub faults_by_kind: Mutex<BTreeMap<&'static str, usize>>,
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -83,7 +83,9 @@
         Layout { controls: CONTROLS, disks: CONTROLS, entries: cfg.entries, seeds, tolerance: 1 };
     let mut nodes = Deployment::start_layout(layout).await;
     let history = Arc::new(History::default());
-    let document = nodes.document();
+    let mut document = nodes.document();
+    document["Backends"][0]["ColdS"] = 3.0.into();
+    document["Backends"][0]["ColdPerS"] = checks::COLD_PER_S.into();
     nodes.put(&document).await;
     let controls: Vec<_> = (0..CONTROLS).map(|at| nodes.operators_address(at)).collect();
     let entries: Vec<_> = (0..cfg.entries).map(|at| nodes.callers_address(at)).collect();
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -6,19 +6,23 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Method, Request, Response, body::Incoming};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::conductor::DRAINED_ZONE;
 use crate::deployment::{call, plain};
-use crate::history::{AckedChange, History, Probe};
+use crate::history::{AckedChange, History, Probe, ZoneDrain};
 
 /// Routes that a large change adds.
 const LARGE_CHANGE_ROUTES: u64 = 1400;
 
+/// Number of calls after which a drain order is given up.
+const MAX_DRAIN_CALLS: usize = 300;
+
 /// Time that the operator waits for one response.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
@@ -56,10 +60,44 @@
             self.add_route(&format!("new-{}", self.sent));
             self.document["Version"] = self.sent.into();
             self.put(&mut rng, &cx).await;
+            if rng.random_range(0..8) == 0 {
+                self.drain_zone(&mut rng).await;
+            }
             sleep(Duration::from_millis(rng.random_range(50..1500))).await;
         }
     }
 
+    /// Drains a zone for some seconds.
+    async fn drain_zone(&self, rng: &mut ChaCha8Rng) {
+        if !self.order_drain(rng, Method::POST).await {
+            return;
+        }
+        self.history.count("zone drain");
+        let acked_at = Instant::now();
+        sleep(Duration::from_millis(rng.random_range(1000..5000))).await;
+        let until = Instant::now();
+        let drain = ZoneDrain { zone: DRAINED_ZONE, acked_at, until };
+        self.history.zone_drains.lock().push(drain);
+        assert!(self.order_drain(rng, Method::DELETE).await, "the drain was not ended");
+    }
+
+    /// Sends a drain order to replicas until one acknowledges it; false if none did for long.
+    async fn order_drain(&self, rng: &mut ChaCha8Rng, method: Method) -> bool {
+        let path = format!("/api/drain/{DRAINED_ZONE}");
+        let req = || {
+            let req = Request::builder().method(method.clone()).uri(&path);
+            req.body(Full::default()).unwrap()
+        };
+        for _ in 0..MAX_DRAIN_CALLS {
+            let at = rng.random_range(0..self.controls.len());
+            if follow(self.controls[at], req).await.is_some_and(|a| a.status() == 200) {
+                return true;
+            }
+            sleep(Duration::from_millis(60)).await;
+        }
+        false
+    }
+
     fn add_route(&mut self, name: &str) {
         let route = json!({
             "Name": name, "Hostname": "site.example", "PathPrefix": format!("/{name}/"),
