Wait in a test until killed engines refuse connections

An abort of the engines' tasks ends their listeners a moment later; a connection that was accepted meanwhile is lost with its request, which then may have run, so the entry may not answer that it did not.

--- a/tests/platform/zone_drains.rs
+++ b/tests/platform/zone_drains.rs
@@ -318,7 +318,7 @@
     }
     fixture.wait_used(0, "order-zone-c").await;
     // Engines that were killed and still count as ready: a request waits for one, then for none.
-    fixture.servers.retain(|s| !s.id.starts_with("engine"));
+    fixture.kill_engines().await;
     let waiting = async {
         let sent = Instant::now();
         let answer = fixture.nodes.send(0, ask("/ask/x", 900)).await;
--- a/tests/platform/zones.rs
+++ b/tests/platform/zones.rs
@@ -1,10 +1,12 @@
 //! A deployment with servers in two availability zones, and load on its entries.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
 use jiff::Timestamp;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::deployment::{Deployment, ask, call, id_of, plain, wait_until};
@@ -49,6 +51,22 @@
         self.servers.push(server);
     }
 
+    /// Kills all engines, and waits until nothing listens at their addresses: a connection that is
+    /// accepted before that is lost with a request that may have run.
+    pub async fn kill_engines(&mut self) {
+        let is_engine = |s: &Server| s.id.starts_with("engine");
+        let killed: Vec<Server> = self.servers.extract_if(.., |s| is_engine(s)).collect();
+        let addrs: Vec<SocketAddr> = killed.iter().map(|s| s.addr).collect();
+        drop(killed);
+        for addr in addrs {
+            wait_until("an engine that refuses connections", async || {
+                let refused = TcpStream::connect(addr).await.err();
+                refused.is_some_and(|e| e.kind() == ErrorKind::ConnectionRefused)
+            })
+            .await;
+        }
+    }
+
     /// Waits until an entry sends requests to a server.
     pub async fn wait_used(&self, entry: usize, server: &str) {
         wait_until("an entry that sends to a server", async || {
