Build the documents of a test before its links are opened

They compressed documents of 1 MB, unoptimized, on the thread that both ends of the link run on; while that took longer than the idle timeout less a keepalive interval, 0.9 s, neither end sent a keepalive frame, and the link was closed. The product is not affected: its two ends are separate processes.

--- a/tests/thin_links.rs
+++ b/tests/thin_links.rs
@@ -205,7 +205,8 @@
     Document::pack(version, body.into())
 }
 
-/// Document of 1 MB that no compression makes smaller.
+/// Document of 1 MB that no compression makes smaller. Tests build it before they open a link: to
+/// compress it without optimization may take longer than an idle link lives.
 fn random_document(version: u64) -> Document {
     random_document_of(version, 1_000_000)
 }
@@ -218,17 +219,19 @@
 
 #[tokio::test]
 async fn a_large_document_is_in_force_in_time_over_thin_links() {
+    let document = large_document(7);
     let replica = ThinReplica::start(THIN_LINK).await;
     let listener = subscribe_to(std::slice::from_ref(&replica)).await;
-    replica.publish(large_document(7));
+    replica.publish(document);
     assert!(wait_for(&listener, 7, APPLY_LIMIT).await.is_some(), "not in force in time");
 }
 
 #[tokio::test]
 async fn a_document_on_its_way_holds_up_no_announcement_and_is_not_begun_anew() {
+    let document = random_document(7);
     let replica = ThinReplica::start(THIN_LINK / 2.0).await;
     let listener = subscribe_to(std::slice::from_ref(&replica)).await;
-    replica.publish(random_document(7));
+    replica.publish(document);
     sleep(Duration::from_millis(600)).await;
     let announced = Instant::now();
     replica.hub.announce(Announcement {
@@ -252,9 +255,10 @@
 /// Guards against a drain that waits for the parts of a document.
 #[tokio::test]
 async fn a_document_on_its_way_holds_up_no_drain() {
+    let document = random_document(7);
     let replica = ThinReplica::start(THIN_LINK / 2.0).await;
     let listener = subscribe_to(std::slice::from_ref(&replica)).await;
-    replica.publish(random_document(7));
+    replica.publish(document);
     sleep(Duration::from_millis(600)).await;
     let drained = Instant::now();
     let drains = ZoneDrains { revision: 3, zones: vec!["north".into()] };
@@ -270,13 +274,14 @@
 /// were drained: one that knows no leader, or less than its leader has committed.
 #[tokio::test]
 async fn a_replica_that_lags_sends_neither_drains_nor_a_document() {
+    let document = large_document(7);
     let replica = ThinReplica::start(THIN_LINK).await;
     replica.published.send_modify(|state| {
         state.lags = true;
         state.zone_drains = ZoneDrains { revision: 1, zones: vec![] };
     });
     let listener = subscribe_to(std::slice::from_ref(&replica)).await;
-    replica.publish(large_document(7));
+    replica.publish(document);
     assert!(wait_for(&listener, 7, Duration::from_millis(700)).await.is_none());
     replica.published.send_modify(|state| (state.lags, state.has_leader) = (false, false));
     assert!(wait_for(&listener, 7, Duration::from_millis(700)).await.is_none());
@@ -294,6 +299,7 @@
 
 #[tokio::test]
 async fn a_link_is_not_lost_while_a_large_frame_arrives() {
+    let document = random_document(7);
     let cx = CancellationToken::new();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let front = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -301,21 +307,21 @@
     tokio::spawn(serve(listener, Arc::new(Echo), link(), discarding_logger(), cx.clone()));
     tokio::spawn(forward_slowly(front, behind, THIN_LINK / 2.0, Arc::default()));
     let link = Link::connect(addr, &link(), &cx).await.unwrap();
-    let document = random_document(7);
     let reply = link.request(Body::Document(document.clone()), Duration::from_secs(20)).await;
-    assert_eq!(reply.ok(), Some(Body::Document(document)), "the link was lost");
+    assert!(reply.is_ok_and(|reply| reply == Body::Document(document)), "the link was lost");
     cx.cancel();
 }
 
 /// Changes follow each other faster than the link carries a document.
 #[tokio::test]
 async fn changes_in_quick_succession_are_in_force_in_time_over_thin_links() {
+    let documents: Vec<Document> = (1..=40).map(|v| random_document_of(v, 150_000)).collect();
     let replica = ThinReplica::start(THIN_LINK / 2.0).await;
     let listener = subscribe_to(std::slice::from_ref(&replica)).await;
     let started = Instant::now();
     let mut published = Vec::new();
-    for version in 1..=40 {
-        replica.publish(random_document_of(version, 150_000));
+    for document in documents {
+        replica.publish(document);
         published.push(Instant::now());
         sleep(Duration::from_millis(150)).await;
         let held = listener.held_version() as usize;
@@ -331,13 +337,14 @@
 
 #[tokio::test]
 async fn a_document_that_many_replicas_offer_over_thin_links_is_sent_once() {
+    let document = random_document(7);
     let mut replicas = Vec::new();
     for _ in 0..4 {
         replicas.push(ThinReplica::start(THIN_LINK / 2.0).await);
     }
     let listener = subscribe_to(&replicas).await;
     for replica in &replicas {
-        replica.publish(random_document(7));
+        replica.publish(document.clone());
     }
     assert!(wait_for(&listener, 7, Duration::from_secs(20)).await.is_some());
     sleep(Duration::from_millis(300)).await;
