--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode, request};
-use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use super::choose::Placement;
@@ -15,6 +14,8 @@
 use super::dialect::{CallerHead, SendOptions};
 use super::eligibility::endpoints::Endpoint;
 use super::eligibility::regions::RegionSet;
+use super::exclusions::Exclusions;
+use super::head_timeout::head_timeout;
 use super::pass_through;
 use super::reason::Reason;
 use super::responses::{
@@ -23,6 +24,7 @@
 use super::send::{EndpointResponse, OutgoingRequest, SendOutcome, error_chain};
 use super::state::Gateway;
 use crate::clock::boot_now;
+use crate::directory::EndpointId;
 use crate::event;
 use crate::ids::{Moment, WorkspaceName};
 use crate::prompt_class::PromptClass;
@@ -76,9 +78,9 @@
     /// Whether an endpoint may have run the request, so that only idempotent requests may be sent
     /// again.
     pub may_have_run: bool,
-    /// Endpoints that the request was sent to or that could not be connected to; none is used
-    /// twice.
-    pub tried: Vec<SmolStr>,
+    /// Endpoints that are not used again: those that the request was sent to or that could not be
+    /// connected to, helpers that failed, and for a while engines without free memory.
+    pub exclusions: Exclusions,
     /// Properties of the request that may crash endpoints.
     pub suspect_keys: Vec<SuspectKey>,
 }
@@ -118,8 +120,8 @@
             helpers: placement.helpers.clone(),
             rank: self.rank(placement),
         };
-        let mut zones = placement.helper_zones.clone();
-        zones.push(placement.endpoint.zone.clone());
+        let endpoints = placement.helper_endpoints.iter().chain([&placement.endpoint]);
+        let zones = endpoints.map(|e| e.zone.clone()).collect();
         OutgoingRequest {
             method: self.head.method.clone(),
             uri: self.head.uri.clone(),
@@ -145,20 +147,28 @@
         if self.route.retry_policy == RetryPolicy::Never || !more_sends {
             return remaining;
         }
-        match placement.predicted_first_token {
-            Some(predicted) => remaining.min(predicted * 3 + Duration::from_millis(2500)),
-            None => remaining.min(PLAIN_HEAD_TIMEOUT),
-        }
+        let objective_at = self.started + self.route.objective;
+        let limit = match placement.predicted_first_token {
+            Some(predicted) => head_timeout(predicted, objective_at.saturating_sub(boot_now())),
+            None => PLAIN_HEAD_TIMEOUT,
+        };
+        remaining.min(limit)
     }
 
-    /// Records the outcome of a send in the request and in the endpoint's health.
+    /// Records the outcome of a send in the request and in the health of the endpoint, or of the helper
+    /// that failed it. Only sends that the endpoint itself answered or may have run count.
     pub fn record_send(&mut self, endpoint: &Endpoint, outcome: &SendOutcome) {
         if matches!(outcome, SendOutcome::Withheld) {
             return;
         }
         let now = boot_now();
         let mut health = self.gateway.health.lock();
-        self.tried.push(endpoint.id.clone());
+        if let SendOutcome::HelperFailed(helper, _) = outcome {
+            health.record_failure(now, helper);
+            self.exclusions.exclude(helper);
+            return;
+        }
+        self.exclusions.exclude(&endpoint.id);
         match outcome {
             SendOutcome::Responded(response) => {
                 self.sends += 1;
@@ -166,7 +176,7 @@
                     health.record_failure(now, &endpoint.id);
                 }
             }
-            SendOutcome::Withheld => {}
+            SendOutcome::Withheld | SendOutcome::HelperFailed(..) => {}
             SendOutcome::NotSent(_) => health.record_unreachable(now, &endpoint.id),
             SendOutcome::Refused(_) => health.record_refused(now, &endpoint.id),
             SendOutcome::NotRun(_) => {
@@ -188,6 +198,12 @@
         }
     }
 
+    /// Avoids endpoints for a time.
+    pub(super) fn exclude_for(&mut self, time: Duration, endpoints: &[EndpointId]) {
+        let until = boot_now() + time;
+        endpoints.iter().for_each(|id| self.exclusions.exclude_until(until, id));
+    }
+
     /// Checks whether the endpoint crashed, with this request among the suspects.
     pub(super) fn suspect_crash(&self, endpoint: &Endpoint) {
         let suspect = Suspect {
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -27,8 +27,9 @@
 use super::responses::default_retry_after;
 use super::tracked_sends::InFlightGuard;
 use crate::clock::boot_now;
+use crate::directory::EndpointId;
 use crate::event;
-use crate::ids::{Moment, ZoneName};
+use crate::ids::Moment;
 
 /// Upper bound of the random amount added to each cost. Costs that differ by less count as equal,
 /// and the choice between such endpoints is random.
@@ -55,9 +56,6 @@
 /// same moment.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(10);
 
-/// Retry delay suggested when KV cache could not be reserved.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
-
 /// Retry delay suggested when all endpoints are in drained zones; operators drain zones for longer.
 const DRAINED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -70,8 +68,8 @@
     pub endpoint: Endpoint,
     /// Addresses of the helper engines, each with its reservation id if it holds KV cache.
     pub helpers: Vec<(String, Option<SmolStr>)>,
-    /// Availability zones of the helper engines.
-    pub helper_zones: Vec<ZoneName>,
+    /// The helper engines.
+    pub helper_endpoints: Vec<Endpoint>,
     /// Whether the request already missed its objective and is queued behind others at the engine.
     pub late: bool,
     /// Predicted time to the first token; `None` for endpoints that are not engines.
@@ -92,6 +90,8 @@
     NoEndpoint,
     /// Place the request again after this time.
     Wait(Duration),
+    /// These engines did not grant the memory that the request needs; others may.
+    NoMemory(Vec<EndpointId>),
     /// The request cannot be served now; the caller may retry after this time, for this reason.
     Refused(Duration, &'static str),
     /// The request is refused for this time, which is known, for this reason.
@@ -103,21 +103,24 @@
     pub async fn choose_next(&self) -> Option<Placement> {
         match self.choose().await {
             Choice::Placed(placement) => Some(*placement),
-            Choice::NoEndpoint | Choice::Wait(_) | Choice::Refused(..) | Choice::RefusedFor(..) => {
-                None
-            }
+            Choice::NoEndpoint
+            | Choice::Wait(_)
+            | Choice::NoMemory(_)
+            | Choice::Refused(..)
+            | Choice::RefusedFor(..) => None,
         }
     }
 
-    /// Ready endpoints that were not tried for this request and that all rules allow: in a large
+    /// Ready endpoints that this request does not avoid and that all rules allow: in a large
     /// fleet some of them, the same ones each time that this request is placed.
     fn candidates(&self, now: Moment) -> Vec<Endpoint> {
         let endpoints = self.gateway.endpoints.lock().ready_endpoints(&self.service.name);
         let entries = self.gateway.in_flight.lock().entry_count();
         let allowed_regions = self.allowed_regions.clone();
         let cx = SendContext { now, entries, allowed_regions };
-        let is_usable =
-            |e: &&Endpoint| !self.tried.contains(&e.id) && self.gateway.is_eligible(&cx, e);
+        let is_usable = |e: &&Endpoint| {
+            !self.exclusions.contains(now, &e.id) && self.gateway.is_eligible(&cx, e)
+        };
         let hash = xxh3_64(self.caller.id.as_bytes());
         let usable: Vec<Endpoint> =
             draw_candidates(&endpoints, hash).filter(is_usable).cloned().collect();
@@ -268,7 +271,7 @@
         Choice::Placed(Box::new(Placement {
             endpoint,
             helpers: Vec::new(),
-            helper_zones: Vec::new(),
+            helper_endpoints: Vec::new(),
             late: false,
             predicted_first_token: None,
             reservation: None,
@@ -371,19 +374,19 @@
             in_flight.mark_helpers_called();
             let reserved = Reservation::acquire(&self.gateway, &self.caller.id, parts).await;
             in_flight.mark_helpers_called();
-            let Some(reserved) = reserved else {
-                return Choice::Refused(MEMORY_RETRY_AFTER, "the engines' memory is not free");
-            };
-            Some(reserved)
+            match reserved {
+                Ok(reserved) => Some(reserved),
+                Err(engines) => return Choice::NoMemory(engines),
+            }
         };
         let mut helpers = reservation.as_ref().map(Reservation::helpers).unwrap_or_default();
-        let helper_zones = plan.helpers.iter().map(|h| candidates[h.index].zone.clone()).collect();
+        let helper_endpoints = plan.helpers.iter().map(|h| candidates[h.index].clone()).collect();
         let compute_helpers = plan.helpers.iter().filter(|h| h.held_tokens == 0);
         helpers.extend(compute_helpers.map(|h| (candidates[h.index].addr.to_string(), None)));
         Choice::Placed(Box::new(Placement {
             endpoint: candidates[plan.primary].clone(),
             helpers,
-            helper_zones,
+            helper_endpoints,
             late: plan.late,
             predicted_first_token: Some(Duration::from_secs_f64(plan.first_token_ms / 1000.0)),
             reservation,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -25,6 +25,16 @@
 /// Maximum number of failed connection attempts for one request.
 const MAX_FAILED_CONNECTS: u32 = 4;
 
+/// Maximum number of sends of one request that fail because of a helper engine.
+const MAX_FAILED_HELPERS: u32 = 4;
+
+/// Maximum number of attempts to reserve memory for one request.
+const MAX_RESERVATION_ATTEMPTS: u32 = 4;
+
+/// Time for which a request avoids an engine that did not grant it memory, and retry delay suggested
+/// when several did not.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
+
 /// Handles one request of a caller and returns the response, which may be an event stream.
 pub async fn handle(
     gateway: Arc<Gateway>,
@@ -48,7 +58,7 @@
 }
 
 async fn serve(mut req: ActiveRequest) -> Response<ResponseBody> {
-    let mut failed_connects = 0;
+    let (mut failed_connects, mut failed_helpers, mut failed_reservations) = (0, 0, 0);
     let mut failed: Option<Response<ResponseBody>> = None;
     loop {
         if boot_now() >= req.deadline {
@@ -73,6 +83,15 @@
                 let after = default_retry_after(&req.caller);
                 return failed.unwrap_or_else(|| req.refuse("this process is ending", after));
             }
+            Choice::NoMemory(engines) => {
+                failed_reservations += 1;
+                if failed_reservations < MAX_RESERVATION_ATTEMPTS {
+                    req.exclude_for(MEMORY_RETRY_AFTER, &engines);
+                    continue;
+                }
+                let reason = "the engines' memory is not free";
+                return failed.unwrap_or_else(|| req.refuse(reason, MEMORY_RETRY_AFTER));
+            }
             Choice::Refused(after, reason) => {
                 return failed.unwrap_or_else(|| req.refuse(reason, after));
             }
@@ -111,6 +130,13 @@
                 }
                 return failed.unwrap_or_else(|| req.fail(reason));
             }
+            SendOutcome::HelperFailed(_, reason) => {
+                failed_helpers += 1;
+                if failed_helpers >= MAX_FAILED_HELPERS {
+                    return failed.unwrap_or_else(|| req.fail(reason));
+                }
+                reason
+            }
             SendOutcome::NotRun(reason)
             | SendOutcome::Unknown(reason)
             | SendOutcome::Lost(reason) => reason,
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -14,6 +14,7 @@
 use super::config::{GatewayConfig, Route, Service, Workspace};
 use super::crash_watch;
 use super::dialect::CallerHead;
+use super::exclusions::Exclusions;
 use super::memory_budget::HeldKind;
 use super::responses::{ResponseBody, default_retry_after, jittered_retry_after, refuse, reject};
 use super::startup;
@@ -76,7 +77,7 @@
         deadline: started + wait_limit,
         sends: 0,
         may_have_run: false,
-        tried: Vec::new(),
+        exclusions: Exclusions::default(),
         suspect_keys,
     })
 }
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -17,6 +17,7 @@
 
 use super::eligibility::endpoints::Endpoint;
 use super::state::Gateway;
+use crate::directory::EndpointId;
 use crate::event;
 use crate::metrics::ReasonLabels;
 
@@ -47,12 +48,15 @@
 }
 
 impl Reservation {
-    /// Reserves the given tokens at each engine; `None` unless all of them grant it.
+    /// Reserves the given tokens at each engine.
+    ///
+    /// # Errors
+    /// The engines that did not grant it; nothing stays reserved.
     pub async fn acquire(
         gateway: &Arc<Gateway>,
         request: &str,
         requested: Vec<(Endpoint, u64)>,
-    ) -> Option<Self> {
+    ) -> Result<Self, Vec<EndpointId>> {
         static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
         let build = |(endpoint, tokens): (Endpoint, u64)| {
             let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
@@ -73,10 +77,14 @@
         let labels = ReasonLabels { reason: reason.into() };
         gateway.metrics.reservations.get_or_create(&labels).inc();
         if !all_granted {
-            return None;
+            let answers = shares.into_iter().zip(granted);
+            return Err(answers
+                .filter(|(_, granted)| !granted)
+                .map(|(s, _)| s.endpoint.id)
+                .collect());
         }
         tokio::spawn(renew(Arc::clone(gateway), shares, cx));
-        Some(reservation)
+        Ok(reservation)
     }
 
     /// Address and reservation id of each engine, as sent to the primary engine.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use smol_str::ToSmolStr;
 use tokio::time::timeout;
 
 use super::choose::Placement;
@@ -16,6 +17,7 @@
 use super::reason::Reason;
 use super::state::Gateway;
 use crate::clock::boot_now;
+use crate::directory::EndpointId;
 use crate::ids::ZoneName;
 
 /// Maximum number of idle connections to try before opening a new one.
@@ -70,6 +72,8 @@
     Refused(Reason),
     /// The endpoint states that it did not run the request, with the status for the log.
     NotRun(Reason),
+    /// The endpoint did not run the request because this helper engine failed.
+    HelperFailed(EndpointId, Reason),
     /// The request may have run; the reason tells why its outcome is unknown.
     Unknown(Reason),
     /// The connection was lost before a response; the request may have run.
@@ -163,10 +167,11 @@
     if head.is_leaving {
         gateway.record_leaving(endpoint);
     }
-    Ok(classify(parts, head, body, conn, id))
+    Ok(classify(placement, parts, head, body, conn, id))
 }
 
 fn classify(
+    placement: &Placement,
     parts: response::Parts,
     head: ResponseHead,
     body: Incoming,
@@ -177,7 +182,15 @@
         let failing_at =
             head.failing_endpoint.as_ref().map(|a| format!(" at {a}")).unwrap_or_default();
         let detail = format!("refused with {}{failing_at}", parts.status.as_u16());
-        return SendOutcome::NotRun(Reason::detailed("not run by the endpoint", detail));
+        let helpers = &placement.helper_endpoints;
+        let failed = helpers.iter().find(|e| head.failing_endpoint == Some(e.addr.to_smolstr()));
+        return match failed {
+            Some(helper) => {
+                let reason = Reason::detailed("not run because a helper engine failed", detail);
+                SendOutcome::HelperFailed(helper.id.clone(), reason)
+            }
+            None => SendOutcome::NotRun(Reason::detailed("not run by the endpoint", detail)),
+        };
     }
     if head.id.as_deref() != Some(id) {
         return SendOutcome::Unknown("answer to another request".into());
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod deployment;
 mod evidence;
+mod helpers;
 mod limits;
 mod poison;
 mod promises;
--- a/tests/platform/regions.rs
+++ b/tests/platform/regions.rs
@@ -2,35 +2,23 @@
 
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::deployment::{ask, id_of, plain, wait_until};
 use crate::servers::{EVENTS, ServerMode};
 use crate::zones::Fixture;
 
-/// Changes the document and waits until the first entry has it in force.
-async fn change_document(fixture: &mut Fixture, change: impl FnOnce(&mut Value)) {
-    let mut document = fixture.nodes.document();
-    change(&mut document);
-    fixture.nodes.put(&document).await;
-    let version = document["Version"].as_u64();
-    wait_until("the document in force", async || {
-        let lines = fixture.nodes.entries[0].log_lines("E402");
-        lines.iter().any(|l| l["version"].as_u64() == version)
-    })
-    .await;
-}
-
 /// Restricts all requests to the region of `zone-b`.
 async fn restrict_to_east(fixture: &mut Fixture) {
-    change_document(fixture, |document| {
-        document["Tenants"][0]["AllowedRegions"] = json!(["east", "north"]);
-        for route in document["Routes"].as_array_mut().unwrap() {
-            route["AllowedRegions"] = json!(["east", "south"]);
-        }
-        document["Routes"][3]["AllowedRegions"] = json!([]);
-    })
-    .await;
+    fixture
+        .change_document(|document| {
+            document["Tenants"][0]["AllowedRegions"] = json!(["east", "north"]);
+            for route in document["Routes"].as_array_mut().unwrap() {
+                route["AllowedRegions"] = json!(["east", "south"]);
+            }
+            document["Routes"][3]["AllowedRegions"] = json!([]);
+        })
+        .await;
 }
 
 /// Guards against first sends and retries outside of the allowed regions, also while all endpoints
@@ -128,13 +116,14 @@
         (json!(["east"]), json!(["south"]), "nothing that both allow"),
     ];
     for (of_routes, of_workspace, case) in lists {
-        change_document(&mut fixture, |document| {
-            document["Tenants"][0]["AllowedRegions"] = of_workspace;
-            for route in document["Routes"].as_array_mut().unwrap() {
-                route["AllowedRegions"] = of_routes.clone();
-            }
-        })
-        .await;
+        fixture
+            .change_document(|document| {
+                document["Tenants"][0]["AllowedRegions"] = of_workspace;
+                for route in document["Routes"].as_array_mut().unwrap() {
+                    route["AllowedRegions"] = of_routes.clone();
+                }
+            })
+            .await;
         let start = Instant::now();
         for req in [ask("/ask/x", 900), plain("POST", "/book/1"), ask("/tell/x", 300_000)] {
             let sent = Instant::now();
@@ -153,7 +142,7 @@
         };
         wait_until("the finding in the log", logged).await;
     }
-    change_document(&mut fixture, |_| {}).await;
+    fixture.change_document(|_| {}).await;
     fixture.wait_used(0, "order-zone-c").await;
     fixture.nodes.wait_serving(0).await;
 }
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -103,6 +103,10 @@
     pub reservations: Arc<Mutex<Vec<(String, u64, Instant)>>>,
     /// Time that servers take to answer a reservation.
     pub reserve_delay: Arc<Mutex<Duration>>,
+    /// Address that servers cannot reach as a helper: they refuse requests that name it as one.
+    pub lost_helper: Arc<Mutex<Option<SocketAddr>>>,
+    /// Id of a server that grants no reservations.
+    pub full_server: Arc<Mutex<Option<String>>>,
     /// Prompt part that crashes the servers that begin to answer a request with it.
     pub crashing_part: Arc<Mutex<Option<String>>>,
     /// Path that crashes the servers that begin to run a request to it.
@@ -465,7 +469,7 @@
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     if req.uri().path() == "/api/order" {
-        return Ok(handle_order(&records, req).await);
+        return Ok(handle_order(&server, &records, req).await);
     }
     let text =
         |name: &str| req.headers().get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
@@ -473,7 +477,12 @@
     let streams = text("token-usage").is_some();
     let last_event = text("last-event-id").and_then(|v| v.parse().ok());
     let refuses = matches!(mode, ServerMode::Refuses | ServerMode::NamesTime);
-    let is_refused = refuses || text("expect-instance") != Some(server.clone());
+    let helpers = text("helpers").unwrap_or_default();
+    let lost_helper = records.lost_helper.lock().filter(|addr| {
+        helpers.split(',').any(|h| h.trim().split('/').next() == Some(&addr.to_string()))
+    });
+    let is_refused =
+        refuses || lost_helper.is_some() || text("expect-instance") != Some(server.clone());
     records.runs.lock().push(Run {
         request: id.clone(),
         server: server.clone(),
@@ -498,6 +507,10 @@
             ServerMode::NamesTime => refusal.header("retry-after", "2"),
             _ => refusal,
         };
+        let refusal = match lost_helper {
+            Some(addr) => refusal.header("at-server", addr.to_string()),
+            None => refusal,
+        };
         return Ok(refusal.header("attempt-id", id).body(full_body("")).unwrap());
     }
     let response_id = if mode == ServerMode::WrongRequestId { "another" } else { id.as_str() };
@@ -599,7 +612,7 @@
     }
 }
 
-async fn handle_order(records: &Records, req: Request<Incoming>) -> Response<Body> {
+async fn handle_order(server: &str, records: &Records, req: Request<Incoming>) -> Response<Body> {
     let body = req.into_body().collect().await.unwrap().to_bytes();
     let order: serde_json::Value = serde_json::from_slice(&body).unwrap();
     let delay =
@@ -608,6 +621,11 @@
     let id = order["Id"].as_str().unwrap_or_default().to_owned();
     let mut held = records.reservations.lock();
     match order["Op"].as_str() {
+        Some("reserve") if records.full_server.lock().as_deref() == Some(server) => {
+            let mut denied = Response::new(full_body("{}"));
+            *denied.status_mut() = http::StatusCode::CONFLICT;
+            return denied;
+        }
         Some("reserve") => {
             held.retain(|(h, ..)| *h != id);
             let hold = Duration::from_millis(order["HoldMs"].as_u64().unwrap());
--- a/tests/platform/zones.rs
+++ b/tests/platform/zones.rs
@@ -6,6 +6,7 @@
 
 use http_body_util::BodyExt;
 use jiff::Timestamp;
+use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -38,6 +39,19 @@
         fixture
     }
 
+    /// Changes the document and waits until the first entry has it in force.
+    pub async fn change_document(&mut self, change: impl FnOnce(&mut Value)) {
+        let mut document = self.nodes.document();
+        change(&mut document);
+        self.nodes.put(&document).await;
+        let version = document["Version"].as_u64();
+        wait_until("the document in force", async || {
+            let lines = self.nodes.entries[0].log_lines("E402");
+            lines.iter().any(|l| l["version"].as_u64() == version)
+        })
+        .await;
+    }
+
     pub async fn add_server(
         &mut self,
         zone: &'static str,
