Share the document decoder and keep keys out of its errors

A check of documents before they are sent has to reject what control rejects, with the same code. The decoder is split into reading and validating, and its types are visible within src/platform. What it accepts is unchanged.

The text of a JSON error repeats a value of a wrong type, so that a key given as text instead of a list was logged and returned by control. Such values are left out now, and the text names the expected object instead of a Rust type.

--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -16,133 +16,168 @@
 use crate::gateway::placement::engine_model::EngineModel;
 use crate::ids::RegionName;
 
+/// Connections that an endpoint of a service accepts if the document does not say.
+pub(super) const DEFAULT_MAX_CONNECTIONS: u32 = 64;
+
 /// The document; field names are those of the platform.
 #[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireDocument {
+#[serde(rename_all = "PascalCase", expecting = "an object with a version, routes and services")]
+pub(super) struct WireDocument {
     /// Of several documents the one with the highest version is in force.
-    version: u64,
-    routes: Vec<WireRoute>,
+    pub(super) version: u64,
+    pub(super) routes: Vec<WireRoute>,
     /// Services that routes refer to by name.
-    backends: Vec<WireService>,
-    limits: Option<WireLimits>,
+    pub(super) backends: Vec<WireService>,
+    pub(super) limits: Option<WireLimits>,
     /// Workspaces; if missing, callers need no key.
-    tenants: Option<Vec<WireWorkspace>>,
+    pub(super) tenants: Option<Vec<WireWorkspace>>,
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireRoute {
-    name: SmolStr,
+#[serde(rename_all = "PascalCase", expecting = "a route object")]
+pub(super) struct WireRoute {
+    pub(super) name: SmolStr,
     /// Host of the request, compared without case.
-    hostname: SmolStr,
-    path_prefix: SmolStr,
+    pub(super) hostname: SmolStr,
+    pub(super) path_prefix: SmolStr,
     /// `streaming`, `safe` (may be repeated), or anything else for calls that may not.
-    r#type: SmolStr,
+    pub(super) r#type: SmolStr,
     /// Time for a whole request; must not be 0.
     #[serde(default)]
-    timeout_ms: u64,
+    pub(super) timeout_ms: u64,
     /// Response time objective; a quarter of the timeout if missing.
-    goal_ms: Option<u64>,
+    pub(super) goal_ms: Option<u64>,
     /// Priority at the engine; 1 if missing.
-    prio: Option<u32>,
+    pub(super) prio: Option<u32>,
     /// The only target; ignored if `split` is there.
-    backend: Option<SmolStr>,
+    pub(super) backend: Option<SmolStr>,
     /// Weighted targets, which take precedence over `backend`.
-    split: Option<Vec<WireTarget>>,
+    pub(super) split: Option<Vec<WireTarget>>,
     /// Endpoints that a request may be sent to; 1 if missing.
-    max_attempts: Option<u32>,
+    pub(super) max_attempts: Option<u32>,
     /// Whether callers need no key.
     #[serde(default)]
-    public: bool,
+    pub(super) public: bool,
     /// Whether a broken stream may be continued by another endpoint.
     #[serde(default)]
-    resumable: bool,
+    pub(super) resumable: bool,
     /// Longest pause between two events of a stream; 0 or missing if it has none.
-    itl_target_ms: Option<u64>,
+    pub(super) itl_target_ms: Option<u64>,
     /// Regions that requests may be sent to; all if missing or empty.
-    allowed_regions: Option<Vec<RegionName>>,
+    pub(super) allowed_regions: Option<Vec<RegionName>>,
 }
 
 /// Service and its weight among the targets of a route.
 #[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireTarget {
-    backend: SmolStr,
-    weight: u32,
+#[serde(rename_all = "PascalCase", expecting = "an object with a service and its weight")]
+pub(super) struct WireTarget {
+    pub(super) backend: SmolStr,
+    pub(super) weight: u32,
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireService {
-    name: SmolStr,
+#[serde(rename_all = "PascalCase", expecting = "a service object")]
+pub(super) struct WireService {
+    pub(super) name: SmolStr,
     /// Connections that one endpoint accepts from all callers together; 64 if missing.
-    max_conns: Option<u32>,
+    pub(super) max_conns: Option<u32>,
     /// Performance model of the engines; missing for plain services.
-    runtime: Option<WireRuntime>,
+    pub(super) runtime: Option<WireRuntime>,
     /// Seconds for which an endpoint is cold after a start; missing or 0 for no bound.
-    cold_s: Option<f64>,
+    pub(super) cold_s: Option<f64>,
     /// Requests per second that a cold endpoint can handle; missing or 0 for no bound.
-    cold_per_s: Option<f64>,
+    pub(super) cold_per_s: Option<f64>,
 }
 
 /// Performance model of an engine.
 #[derive(Deserialize)]
-struct WireRuntime {
+#[serde(expecting = "an object with the performance model")]
+pub(super) struct WireRuntime {
     #[serde(rename = "Slots")]
-    slots: u32,
+    pub(super) slots: u32,
     /// KV memory in tokens.
     #[serde(rename = "KvCapacity")]
-    memory_tokens: u64,
+    pub(super) memory_tokens: u64,
     /// Decoding steps in a pass that includes decoding streams; 1 if missing.
     #[serde(rename = "Stride")]
-    stride: Option<u32>,
+    pub(super) stride: Option<u32>,
     /// Base time of a decoding step in milliseconds.
-    step_ms: f64,
+    pub(super) step_ms: f64,
     /// Milliseconds that each stream adds to a step.
-    per_seq_ms: Option<f64>,
+    pub(super) per_seq_ms: Option<f64>,
     /// Milliseconds that each thousand tokens of context add to a step.
-    context_per_k: Option<f64>,
+    pub(super) context_per_k: Option<f64>,
     /// Prompt tokens that are prefilled in a second.
-    read_per_s: f64,
+    pub(super) read_per_s: f64,
     /// Milliseconds of attention for a million token pairs.
-    pairs_per_m: Option<f64>,
+    pub(super) pairs_per_m: Option<f64>,
     /// Prompt tokens that are prefilled in one step.
-    chunk: Option<u32>,
+    pub(super) chunk: Option<u32>,
     /// Milliseconds that helpers add to each step of the primary engine.
     #[serde(rename = "HopMs")]
-    hop_ms: Option<f64>,
-    usual: Option<WireUsual>,
+    pub(super) hop_ms: Option<f64>,
+    pub(super) usual: Option<WireUsual>,
 }
 
 /// Mean sizes of requests.
 #[derive(Deserialize)]
-struct WireUsual {
+#[serde(expecting = "an object with mean sizes")]
+pub(super) struct WireUsual {
     /// Mean number of tokens that a request generates.
-    answer: u32,
+    pub(super) answer: u32,
 }
 
 /// Limits on what callers send.
 #[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireLimits {
-    max_header_bytes: usize,
-    max_body_bytes: usize,
-    header_timeout_ms: u64,
-    idle_timeout_ms: u64,
+#[serde(rename_all = "PascalCase", expecting = "an object with limits")]
+pub(super) struct WireLimits {
+    pub(super) max_header_bytes: usize,
+    pub(super) max_body_bytes: usize,
+    pub(super) header_timeout_ms: u64,
+    pub(super) idle_timeout_ms: u64,
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireWorkspace {
-    name: SmolStr,
+#[serde(rename_all = "PascalCase", expecting = "a workspace object")]
+pub(super) struct WireWorkspace {
+    pub(super) name: SmolStr,
     /// Keys that authenticate callers of the workspace; each belongs to one workspace.
     #[serde(default)]
-    api_keys: Vec<SmolStr>,
+    pub(super) api_keys: Vec<SmolStr>,
     /// Priority of its requests; that of the route if missing.
-    prio: Option<u32>,
+    pub(super) prio: Option<u32>,
     /// Regions that its requests may be sent to; all if missing or empty.
-    allowed_regions: Option<Vec<RegionName>>,
+    pub(super) allowed_regions: Option<Vec<RegionName>>,
+}
+
+impl WireRoute {
+    /// Whether requests may run more than once.
+    pub(super) fn is_idempotent(&self) -> bool {
+        if self.streams() { self.resumable } else { self.r#type == "safe" }
+    }
+
+    pub(super) fn streams(&self) -> bool {
+        self.r#type == "streaming"
+    }
+
+    /// Services with their weights.
+    pub(super) fn targets(&self) -> Vec<(SmolStr, u32)> {
+        match (&self.split, &self.backend) {
+            (Some(split), _) => split.iter().map(|t| (t.backend.clone(), t.weight)).collect(),
+            (None, Some(service)) => vec![(service.clone(), 1)],
+            (None, None) => Vec::new(),
+        }
+    }
+
+    pub(super) fn place(&self, index: usize) -> Place {
+        Place::Whole(format!("Routes[{index}] {}", self.name))
+    }
+}
+
+impl WireWorkspace {
+    pub(super) fn place(&self, index: usize) -> Place {
+        Place::Whole(format!("Tenants[{index}] {}", self.name))
+    }
 }
 
 /// Decodes and validates a document.
@@ -150,15 +185,36 @@
 /// # Errors
 /// The position of a JSON error, or every invalid route and workspace.
 pub fn decode(body: &[u8]) -> Result<GatewayConfig, Findings> {
-    let mut findings = Findings::default();
-    let document: WireDocument = match serde_json::from_slice(body) {
-        Ok(document) => document,
-        Err(e) => {
-            let (line, column) = (e.line(), e.column());
-            findings.add(Place::File { path: "document".into(), line, column }, e.to_string());
-            return Err(findings);
+    build(&parse(body)?)
+}
+
+/// Reads a document without validating it.
+pub(super) fn parse(body: &[u8]) -> Result<WireDocument, Findings> {
+    serde_json::from_slice(body).map_err(|e| {
+        let mut findings = Findings::default();
+        let (line, column) = (e.line(), e.column());
+        let place = Place::File { path: "document".into(), line, column };
+        findings.add(place, describe_json_error(&e));
+        findings
+    })
+}
+
+/// Text of a JSON error. The value of a wrong type is left out, since it may be a key of a workspace
+/// and the text is printed and logged.
+fn describe_json_error(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    let Some(rest) = text.strip_prefix("invalid type: ") else { return text };
+    match (rest.find(['"', '`']), rest.rfind(", expected ")) {
+        (Some(start), Some(end)) if start < end => {
+            format!("invalid type: {}{}", rest[..start].trim_end(), &rest[end..])
         }
-    };
+        _ => text,
+    }
+}
+
+/// Validates a document.
+pub(super) fn build(document: &WireDocument) -> Result<GatewayConfig, Findings> {
+    let mut findings = Findings::default();
     let mut config = GatewayConfig::default();
     config.version = document.version;
     if let Some(limits) = &document.limits {
@@ -167,14 +223,14 @@
     for service in &document.backends {
         let decoded = Service {
             name: service.name.clone(),
-            max_connections: service.max_conns.unwrap_or(64),
+            max_connections: service.max_conns.unwrap_or(DEFAULT_MAX_CONNECTIONS),
             engine: service.runtime.as_ref().map(decode_engine),
             cold: decode_cold_rate(service),
         };
         config.services.insert(service.name.clone(), Arc::new(decoded));
     }
     for (index, route) in document.routes.iter().enumerate() {
-        let place = Place::Whole(format!("Routes[{index}] {}", route.name));
+        let place = route.place(index);
         let decoded = decode_route(route, &config, &place, &mut findings);
         add_named_regions(&mut config, &place, &route.allowed_regions);
         if decoded.streams && route.prio.is_some() {
@@ -189,7 +245,7 @@
     if let Some(workspaces) = &document.tenants {
         config.keys = Some(decode_keys(workspaces, &mut findings));
         for (index, workspace) in workspaces.iter().enumerate() {
-            let place = Place::Whole(format!("Tenants[{index}] {}", workspace.name));
+            let place = workspace.place(index);
             add_named_regions(&mut config, &place, &workspace.allowed_regions);
         }
     }
@@ -246,7 +302,7 @@
     place: &Place,
     findings: &mut Findings,
 ) -> Route {
-    let targets = decode_targets(route);
+    let targets = route.targets();
     if route.timeout_ms == 0 {
         findings.add(place.clone(), "the timeout is 0");
     }
@@ -258,15 +314,17 @@
     if targets.iter().map(|(_, weight)| u64::from(*weight)).sum::<u64>() == 0 {
         findings.add(place.clone(), "the weights add up to 0");
     }
-    let streams = route.r#type == "streaming";
-    let is_idempotent = if streams { route.resumable } else { route.r#type == "safe" };
     let timeout = Duration::from_millis(route.timeout_ms);
     Route {
         name: route.name.clone(),
         host: SmolStr::new(route.hostname.to_ascii_lowercase()),
         prefix: route.path_prefix.clone(),
-        retry_policy: if is_idempotent { RetryPolicy::Idempotent } else { RetryPolicy::Never },
-        streams,
+        retry_policy: if route.is_idempotent() {
+            RetryPolicy::Idempotent
+        } else {
+            RetryPolicy::Never
+        },
+        streams: route.streams(),
         timeout,
         objective: route.goal_ms.map_or(timeout / 4, Duration::from_millis),
         pause_limit: Duration::from_millis(route.itl_target_ms.unwrap_or(0)),
@@ -278,14 +336,6 @@
     }
 }
 
-fn decode_targets(route: &WireRoute) -> Vec<(SmolStr, u32)> {
-    match (&route.split, &route.backend) {
-        (Some(split), _) => split.iter().map(|t| (t.backend.clone(), t.weight)).collect(),
-        (None, Some(service)) => vec![(service.clone(), 1)],
-        (None, None) => Vec::new(),
-    }
-}
-
 fn decode_keys(
     workspaces: &[WireWorkspace],
     findings: &mut Findings,
@@ -300,8 +350,10 @@
         let distinct_keys: HashSet<&SmolStr> = workspace.api_keys.iter().collect();
         for key in distinct_keys {
             if keys.insert(key.clone(), Arc::clone(&decoded)).is_some() {
-                let place = Place::Whole(format!("Tenants[{index}] {}", workspace.name));
-                findings.add(place, "one of its keys belongs to another workspace too");
+                findings.add(
+                    workspace.place(index),
+                    "one of its keys belongs to another workspace too",
+                );
             }
         }
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -202,7 +202,8 @@
     }
 }
 
-fn strip_port(host: &str) -> &str {
+/// Host without the port, as it is compared with the hosts of routes.
+pub(super) fn strip_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
         _ => host,
