Add the command config check

Documents that control accepts may still contain routes that never match, limits that contradict each other, or changes that nobody meant. The command prints them before the document is sent.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -28,6 +28,8 @@
     Losses(LossesOptions),
     /// Validates an inventory and rules.
     Check(CheckOptions),
+    /// Validates configuration documents of the users' platform.
+    Config(ConfigOptions),
     /// Applies an inventory and rules.
     Apply(ApplyOptions),
     /// Shows the status of the cluster.
@@ -343,3 +345,41 @@
     #[argh(option)]
     pub rules: String,
 }
+
+/// Work on configuration documents of the users' platform.
+#[derive(FromArgs, Debug, PartialEq)]
+#[argh(subcommand, name = "config")]
+pub struct ConfigOptions {
+    /// what to do with the document
+    #[argh(subcommand)]
+    pub action: ConfigAction,
+}
+
+/// What can be done with a configuration document.
+#[derive(FromArgs, Debug, PartialEq)]
+#[argh(subcommand)]
+pub enum ConfigAction {
+    /// Validates a document without sending it.
+    Check(ConfigCheckOptions),
+}
+
+/// Validate a configuration document without sending it, and show what it would change.
+#[derive(FromArgs, Debug, PartialEq, Default)]
+#[argh(subcommand, name = "check")]
+pub struct ConfigCheckOptions {
+    /// the document, a JSON file
+    #[argh(positional)]
+    pub file: String,
+    /// file with the document in force, to show the differences from it
+    #[argh(option)]
+    pub against: Option<String>,
+    /// addresses of control, IP:PORT,..., to show the differences from the document in force there
+    #[argh(option)]
+    pub in_force: Option<String>,
+    /// region of every availability zone, ZONE=REGION,..., to find regions that no zone has
+    #[argh(option)]
+    pub zones: Option<String>,
+    /// count warnings as errors
+    #[argh(switch)]
+    pub strict: bool,
+}
--- a/src/findings.rs
+++ b/src/findings.rs
@@ -83,6 +83,11 @@
         &self.list
     }
 
+    /// Number of problems, including those that were not kept.
+    pub fn total(&self) -> usize {
+        self.list.len() + self.dropped
+    }
+
     /// Adds the problems of another collection, its count of dropped ones included.
     pub fn extend(&mut self, other: Findings) {
         for finding in other.list {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod clock;
 pub mod commands;
 pub mod config;
+pub mod config_check;
+pub mod config_check_command;
 pub mod config_lease;
 pub mod control;
 pub mod control_client;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,8 +3,9 @@
 
 use std::time::Duration;
 
-use bitternlead::cli::{Cli, Command, PlatformRole};
+use bitternlead::cli::{Cli, Command, ConfigAction, PlatformRole};
 use bitternlead::commands::{self, CommandError};
+use bitternlead::config_check_command;
 use bitternlead::events::{build_logger, build_output_logger};
 use bitternlead::exit_codes::ExitCode;
 use bitternlead::findings::Findings;
@@ -45,6 +46,9 @@
         Command::Trace(o) => exit_code_of(commands::trace(o)),
         Command::Losses(o) => exit_code_of(commands::losses(o)),
         Command::Check(o) => exit_code_of(commands::check(o)),
+        Command::Config(o) => match o.action {
+            ConfigAction::Check(o) => run_command(config_check_command::run(o)),
+        },
         Command::Init(o) => run_command(commands::init(o)),
         Command::Apply(o) => run_command(commands::apply(o)),
         Command::Status(o) => run_command(commands::status(o)),
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -33,7 +33,7 @@
 use crate::wire::{Announcement, Document, Standing};
 
 /// Path at which operators read and replace the configuration document.
-const DOCUMENT_PATH: &str = "/api/config";
+pub(super) const DOCUMENT_PATH: &str = "/api/config";
 /// Path prefix of announcements; the endpoint's id follows.
 const ANNOUNCE_PATH: &str = "/api/instances/";
 /// Path at which operators drain availability zones; a slash and the name of the zone follow.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,8 +1,10 @@
 //! Adapter to the users' platform: translates its names, formats and HTTP calls. No other module
 //! knows them, and nothing is decided here.
 
+pub mod checked_document;
 pub mod control;
 pub mod document;
+pub mod document_in_force;
 pub mod headers;
 pub mod roles;
 pub mod settings;
