Describe in config check what the gateway does with contradicting limits

Three warnings said that a limit has no effect or closes connections early. The gateway keeps idle connections for the longer of the two limits on callers, and a request times out before a longer objective or pause counts. A document that could not be compared with the one in force is no longer called just valid.

--- a/src/config_check/route_rules.rs
+++ b/src/config_check/route_rules.rs
@@ -86,7 +86,7 @@
     for (field, value) in limits.into_iter().filter(|_| route.timeout_ms > 0) {
         if value > route.timeout_ms {
             let text = format!(
-                "{} {value} is above {timeout} {}, so that it has no effect; lower it or raise \
+                "{} {value} is above {timeout} {}: the request times out first; lower it or raise \
                  {timeout}",
                 name(field),
                 route.timeout_ms
--- a/src/config_check/service_rules.rs
+++ b/src/config_check/service_rules.rs
@@ -14,7 +14,7 @@
     let name = document.field_name;
     if limits.header_timeout_ms > limits.idle_timeout_ms {
         let text = format!(
-            "{header} {} is above {idle} {}: a connection is closed as idle before its head is late; \
+            "{header} {} is above {idle} {}: idle connections are kept for the longer of the two; \
              lower {header} or raise {idle}",
             limits.header_timeout_ms,
             limits.idle_timeout_ms,
--- a/src/config_check_command.rs
+++ b/src/config_check_command.rs
@@ -49,7 +49,7 @@
         Ok(read) => read,
         Err(errors) => {
             let report = Report::new(errors);
-            return finish(&options, &report, format!("{report}"), ExitCode::Success);
+            return finish(&options, &report, report.to_string(), ExitCode::Success);
         }
     };
     let (in_force, failure) = match read_in_force(&options).await {
@@ -87,7 +87,8 @@
 ) -> Result<ExitCode, CommandError> {
     let (errors, warnings) = (report.errors.total(), report.warnings.total());
     let verdict = match (report.passes(false), report.passes(options.strict)) {
-        (_, true) => "valid",
+        (_, true) if code == ExitCode::Success => "valid",
+        (_, true) => "valid, but not compared with the document in force",
         (true, false) => "not valid, since --strict counts warnings as errors",
         (false, false) => "not valid",
     };
--- a/src/platform/document_in_force.rs
+++ b/src/platform/document_in_force.rs
@@ -95,7 +95,7 @@
                 uri = target.filter(is_http).ok_or("redirects to no usable address")?;
             }
             StatusCode::SERVICE_UNAVAILABLE => {
-                return Err("has no leader or no document now (status 503)".into());
+                return Err("has no leader or no document yet (status 503)".into());
             }
             status => return Err(format!("answered with status {status}")),
         }
--- a/tests/config_check/command.rs
+++ b/tests/config_check/command.rs
@@ -104,6 +104,7 @@
     let list = format!("{closed},{without_leader},{silent}");
     let (code, text) = outcome(&[&new, "--in-force", &list]);
     assert_eq!(code, Some(1), "{text}");
+    assert!(text.contains("valid, but not compared"), "{text}");
     for reason in ["not reached: Connection refused", "status 503", "no response within 1000 ms"] {
         assert!(text.contains(reason), "{reason}: {text}");
     }
