Let the election timeout follow the time of a replica's syncs

Cause: a replica sends nothing while it syncs its log. When a sync takes half the election timeout or longer, followers give up a sound leader, the leader steps down because acknowledgements are late, and a candidate starts the next election before the votes of the last one can arrive.

Change: the core records how long each sync took. The election timeout and the time after which a leader steps down are at least four times the longest sync of the last 30 s, at most 3 s. With fast disks nothing changes.

The checks of the matrix read the version once and took "no confirmed leader" for version 0 ("Freeze at store.sync of Leader: version 0 after 5", once beside 20 busy processes and a copy).

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -311,7 +311,10 @@
                 other => deferred.push(other),
             }
         }
+        let sync_start = boot_now();
         let sync_result = self.store.sync();
+        let sync_end = boot_now();
+        self.raft.record_sync(sync_end, sync_end.saturating_sub(sync_start));
         self.handle_write_result(sync_result);
         for effect in deferred {
             self.perform_deferred(now, effect);
--- a/src/raft/election.rs
+++ b/src/raft/election.rs
@@ -1,10 +1,65 @@
 //! Leader election: the pre-vote phase, the vote and the quorum check of a leader.
 
+use std::time::Duration;
+
 use super::{Effect, Raft, Role};
 use crate::ids::{Index, Moment, ReplicaId, Term};
 use crate::wire::{PreVote, PreVoteReply, Vote, VoteReply, peer};
 
+/// Number of syncs that fit into an election timeout. A heartbeat waits for a sync of the leader, its
+/// answer for one of the follower and for the next one of the leader; the fourth is a margin, without
+/// which leaders stepped down at syncs of 600 ms.
+const SYNCS_PER_ELECTION: u32 = 4;
+
+/// Upper bound of an election timeout that was extended for slow syncs, below the 5 s within which
+/// a change is acknowledged.
+const MAX_SYNC_ALLOWANCE: Duration = Duration::from_secs(3);
+
+/// Time for which a slow sync extends the election timeout.
+const SLOW_SYNC_MEMORY: Duration = Duration::from_secs(30);
+
 impl Raft {
+    /// Records how long a sync of this replica's disk took, at its end.
+    ///
+    /// A replica sends nothing while it syncs. With syncs of half the election timeout, followers
+    /// would therefore give up a sound leader, and a candidate would start the next election before
+    /// the votes of the last one could arrive; the election timeout is extended accordingly.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bitternlead::raft::{PersistedState, Raft, RaftConfig};
+    ///
+    /// let (cfg, start) = (RaftConfig::default(), Duration::ZERO);
+    /// let mut raft = Raft::new(1, cfg, 7, start, PersistedState::default());
+    /// raft.record_sync(Duration::from_secs(1), Duration::from_millis(600));
+    /// ```
+    pub fn record_sync(&mut self, now: Moment, took: Duration) {
+        let (longest, at) = self.longest_sync;
+        if took >= longest || now.saturating_sub(at) > SLOW_SYNC_MEMORY {
+            self.longest_sync = (took, now);
+        }
+        // The first slow sync is known only at its end. A candidate then still waits for the voters'
+        // syncs, and a follower reads what arrived meanwhile, before either starts an election.
+        if took * SYNCS_PER_ELECTION > self.cfg.election_timeout {
+            self.election_deadline = self.election_deadline.max(now + self.sync_allowance(now));
+        }
+    }
+
+    /// Shortest election timeout in which the recent syncs of this replica allow an election.
+    pub(super) fn sync_allowance(&self, now: Moment) -> Duration {
+        let (longest, at) = self.longest_sync;
+        if now.saturating_sub(at) > SLOW_SYNC_MEMORY {
+            return Duration::ZERO;
+        }
+        (longest * SYNCS_PER_ELECTION).min(MAX_SYNC_ALLOWANCE)
+    }
+
+    /// Time without contact after which a leader counts as lost.
+    fn contact_timeout(&self, now: Moment) -> Duration {
+        self.cfg.election_timeout.max(self.sync_allowance(now))
+    }
+
     /// Whether this replica leads or heard from a leader within the last election timeout.
     ///
     /// While this holds it grants no pre-vote and ignores vote requests.
@@ -12,7 +67,7 @@
         if self.is_leader() {
             return true;
         }
-        now.saturating_sub(self.leader_heard_at) < self.cfg.election_timeout
+        now.saturating_sub(self.leader_heard_at) < self.contact_timeout(now)
     }
 
     /// Asks all voters whether they would vote for this replica, without raising its term.
@@ -123,7 +178,7 @@
     ///
     /// Returns whether it still leads.
     pub(super) fn check_quorum(&mut self, now: Moment) -> bool {
-        if now.saturating_sub(self.last_quorum_ack(now)) < self.cfg.election_timeout {
+        if now.saturating_sub(self.last_quorum_ack(now)) < self.contact_timeout(now) {
             return true;
         }
         self.effects.push(Effect::StepDown);
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -148,6 +148,8 @@
     effects: Vec<Effect>,
     /// Bytes of entries and snapshot chunks that were lost, since they were taken last.
     lost_bytes: usize,
+    /// Longest recent sync of this replica's disk, and when it ended.
+    longest_sync: (Duration, Moment),
 }
 
 impl Raft {
@@ -186,6 +188,7 @@
             incoming_snapshot: None,
             effects: Vec::new(),
             lost_bytes: 0,
+            longest_sync: (Duration::ZERO, Moment::ZERO),
         };
         raft.reset_election_deadline(now);
         raft.skip_startup_wait(now);
@@ -358,7 +361,8 @@
         let startup_timeout = self.cfg.startup_election_timeout.filter(|_| !self.seen_leader);
         let base = startup_timeout.map_or(self.cfg.election_timeout, |wait| wait / 2);
         let jitter_ms = self.rng.random_range(0..=base.as_millis() as u64);
-        self.election_deadline = now + base + Duration::from_millis(jitter_ms);
+        let least = base.max(self.sync_allowance(now));
+        self.election_deadline = now + least + Duration::from_millis(jitter_ms);
     }
 
     /// Current term and vote, as they have to be persisted.
--- a/tests/matrix/checks.rs
+++ b/tests/matrix/checks.rs
@@ -1,10 +1,11 @@
 //! Runs one cell and checks the guarantees of its operation.
 
 use std::process::Output;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::cells::{Cell, Operation};
 use crate::faults::{TargetProcess, configure_fail_point, inject, repair, targets};
+use crate::slow_disks::ACK_LIMIT;
 use crate::testenv::{HttpReply, TestEnv, check_tokens, run, streamed_text};
 
 type Verdict = Result<(), String>;
@@ -20,7 +21,7 @@
     if let Some(second) = &cell.second {
         faults.push((second, targets(env, second.target)));
     }
-    let before = env.status()["config_version"].as_u64().unwrap_or(0);
+    let before = read_version(env)?;
     for (cell, targets) in &faults {
         configure_fail_point(env, cell, targets);
     }
@@ -53,6 +54,19 @@
     Ran(Output),
 }
 
+/// Reads the version in force from a confirmed leader. A leader is confirmed only while a quorum has
+/// answered its last heartbeats, so on a busy machine a single read may find none.
+fn read_version(env: &TestEnv) -> Result<u64, String> {
+    let start = Instant::now();
+    while start.elapsed() < ACK_LIMIT {
+        if let Some(version) = env.status()["config_version"].as_u64() {
+            return Ok(version);
+        }
+        std::thread::sleep(Duration::from_millis(30));
+    }
+    Err(format!("no confirmed leader within {ACK_LIMIT:?}\n{}", env.logs()))
+}
+
 fn perform(env: &TestEnv, operation: Operation, key: &str) -> Done {
     match operation {
         Operation::Request => Done::Answered(env.complete(0, key, 40, true)),
@@ -172,7 +186,7 @@
 
 /// Checks that the version has risen by exactly `changes`, and that every node has applied it.
 fn check_in_force(env: &TestEnv, before: u64, changes: u64) -> Verdict {
-    let version = env.status()["config_version"].as_u64().unwrap_or(0);
+    let version = read_version(env)?;
     check(version == before + changes, || format!("version {version} after {before}"))?;
     let nodes = env.agents.iter().chain(&env.entries);
     for node in nodes {
--- a/tests/matrix/main.rs
+++ b/tests/matrix/main.rs
@@ -10,6 +10,7 @@
 mod cells;
 mod checks;
 mod faults;
+mod slow_disks;
 
 use std::sync::Mutex;
 
