Test the joint bound on answers with 50 endless ones at once

Guards against endless answers that are each within the 4 MiB bound and together exceed the memory of the process or keep other callers' answers out.

--- a/tests/platform/slow_readers.rs
+++ b/tests/platform/slow_readers.rs
@@ -257,3 +257,60 @@
     }
     wait_until("free bytes", async || held_bytes(&fixture.nodes, 0, "large-body").await == 0).await;
 }
+
+/// Number of endless answers that are under way at the same time.
+const ENDLESS_ANSWERS: usize = 50;
+
+/// Time after which an endless answer has ended: it exceeds its size within this time, also when 50
+/// share a processor.
+const ENDLESS_LIMIT: Duration = Duration::from_secs(9);
+
+/// Guards against endless answers that are each within the bound on one answer and together exceed the
+/// memory of the process, or use up the room for answers of other callers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn fifty_endless_answers_at_once_cost_neither_memory_nor_other_callers() {
+    let fixture = start_for_large_bodies().await;
+    fixture.orders.iter().for_each(|s| s.set(ServerMode::SendsWithoutEnd));
+    let start = Instant::now();
+    let endless = join_all((0..ENDLESS_ANSWERS).map(|_| async {
+        let mut req = plain("POST", "/book/1");
+        req.headers_mut().insert("deadline-ms", "8000".parse().unwrap());
+        let (status, _, body) = fixture.nodes.send(0, req).await;
+        (status, body.map(|body| body.len()), start.elapsed())
+    }));
+    let others = async {
+        let mut served = 0;
+        for _ in 0..40 {
+            let (status, _, events) = fixture.nodes.send(0, ask("/ask/1", 1000)).await;
+            served += usize::from(status == 200 && events.is_ok());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        served
+    };
+    let (endless, served) = tokio::join!(endless, others);
+    assert_eq!(served, 40, "callers of the other service are served meanwhile");
+    for (status, length, after) in &endless {
+        let is_whole = *status == 200 && length.is_ok();
+        assert!(!is_whole, "an endless answer ended well: {length:?}");
+        assert!(*after < ENDLESS_LIMIT, "{status} {length:?} after {after:?}");
+    }
+    let mut statuses: Vec<u16> = endless.iter().map(|(status, ..)| *status).collect();
+    statuses.sort_unstable();
+    println!("{served} of 40 others served; {statuses:?}");
+    let first_end = endless.iter().map(|(.., after)| *after).min().unwrap();
+    let at_once = {
+        let runs = fixture.records.runs.lock();
+        runs.iter().filter(|r| r.path == "/book/1" && r.at < start + first_end).count()
+    };
+    println!("{at_once} endless answers were under way when the first ended after {first_end:?}");
+    assert_eq!(at_once, ENDLESS_ANSWERS, "they are held at the same time");
+    wait_until("all bytes to be free", async || {
+        let kinds = ["body", "large-body", "answer", "large-answer", "stream"];
+        let held = join_all(kinds.map(|kind| held_bytes(&fixture.nodes, 0, kind))).await;
+        held.iter().sum::<u64>() == 0
+    })
+    .await;
+    let peak = fixture.nodes.entries[0].peak_memory_kb();
+    println!("peak memory {peak} KB of {MEMORY_KB}");
+    assert!(peak < MEMORY_KB, "{peak} KB");
+}
