Soak slow readers, leaving servers, named times and endless answers

Checks: a steady reader gets its whole answer and a stalled one is disconnected; an entry sends nothing to a leaving server from 1 s after its answer on, nor before a named time (500 ms for requests under way); no answer exceeds 4 MiB; at the end no entry holds bytes. Each is shown to fail on a violation in bites.rs. Entries do not tell each other what an answer said, so the checks of leaving and named times compare requests of the same entry.

--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -29,6 +29,10 @@
 /// Size of an answer in the mode [`ServerMode::LargeAnswer`], in bytes.
 pub const LARGE_ANSWER_BYTES: usize = 3 * 1024 * 1024;
 
+/// End of the path of requests that any server in the mode [`ServerMode::Normal`] answers with
+/// [`LARGE_ANSWER_BYTES`].
+pub const LARGE_ANSWER_PATH: &str = "/large";
+
 /// Size of an answer in the mode [`ServerMode::UsualAnswer`], in bytes.
 pub const USUAL_ANSWER_BYTES: usize = 250_000;
 
@@ -36,6 +40,9 @@
 pub const LARGE_EVENTS: usize = 100;
 pub const LARGE_EVENT_BYTES: usize = 30_000;
 
+/// Time for which a server wants no requests after a refusal in the mode [`ServerMode::NamesTime`].
+pub const NAMED_TIME: Duration = Duration::from_secs(2);
+
 /// How a server responds to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerMode {
@@ -109,6 +116,10 @@
     pub crashing_path: Arc<Mutex<Option<String>>>,
     /// Servers that crashed, and when.
     pub crashes: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Responses that said that their server leaves: request, server and time.
+    pub said_leaving: Arc<Mutex<Vec<(String, String, Instant)>>>,
+    /// Refusals that named a time: request, server, and the time until which it wants no requests.
+    pub named_times: Arc<Mutex<Vec<(String, String, Instant)>>>,
     /// Crashes the running server of each address, by the id without the number of its start.
     crash_signals: Arc<Mutex<HashMap<String, Arc<Notify>>>>,
 }
@@ -464,6 +475,9 @@
     records: Records,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
+    // Callers that read slowly or not at all ask for a large answer by the path.
+    let wants_large = mode == ServerMode::Normal && req.uri().path().ends_with(LARGE_ANSWER_PATH);
+    let mode = if wants_large { ServerMode::LargeAnswer } else { mode };
     if req.uri().path() == "/api/order" {
         return Ok(handle_order(&records, req).await);
     }
@@ -495,7 +509,11 @@
     if is_refused {
         let refusal = with_limit(Response::builder().status(503).header("not-executed", "1"));
         let refusal = match mode {
-            ServerMode::NamesTime => refusal.header("retry-after", "2"),
+            ServerMode::NamesTime => {
+                let until = Instant::now() + NAMED_TIME;
+                records.named_times.lock().push((id.clone(), server, until));
+                refusal.header("retry-after", NAMED_TIME.as_secs().to_string())
+            }
             _ => refusal,
         };
         return Ok(refusal.header("attempt-id", id).body(full_body("")).unwrap());
@@ -505,7 +523,10 @@
         .header("attempt-id", response_id)
         .header("server-signature", format!("signed-by-{server}"));
     let head = match mode {
-        ServerMode::SaysItLeaves => head.header("server-leaving", "1"),
+        ServerMode::SaysItLeaves => {
+            records.said_leaving.lock().push((id.clone(), server.clone(), Instant::now()));
+            head.header("server-leaving", "1")
+        }
         _ => head,
     };
     if mode == ServerMode::SendsWithoutEnd {
--- a/tests/soak/bites.rs
+++ b/tests/soak/bites.rs
@@ -3,10 +3,12 @@
 use std::time::{Duration, Instant};
 
 use crate::checks;
+use crate::conductor::check_held_bytes;
 use crate::history::{
     AckedChange, Disturbance, End, History, Kind, Outcome, Probe, Target, ZoneDrain,
 };
 use crate::servers::Run;
+use crate::slow_callers::SlowRead;
 
 fn run(request: &str, server: &str, at: Instant) -> Run {
     Run {
@@ -203,3 +205,61 @@
     assert!(checks::check_crashing_part(&history, &late, "another", Some(fifth)).is_empty());
     assert!(checks::check_crashing_part(&history, &late, "bad", None).is_empty());
 }
+
+#[test]
+fn a_request_at_a_server_that_said_that_it_leaves_is_found_unless_another_entry_sent_it() {
+    let (history, at) = (History::default(), start());
+    let said = [("r-1".to_owned(), "engine-1".to_owned(), at)];
+    let first = outcome(Kind::Ask, at, answered(200, ""));
+    let later = |entry| Outcome { id: "r-2".into(), entry, ..first.clone() };
+    let check = |entry, after_ms| {
+        let runs = [run("r-2", "engine-1", at + Duration::from_millis(after_ms))];
+        checks::check_said_leaving(&history, &[first.clone(), later(entry)], &runs, &said).len()
+    };
+    assert_eq!((check(0, 1200), check(0, 900), check(1, 1200)), (1, 0, 0));
+}
+
+#[test]
+fn a_request_before_the_time_that_a_server_named_is_found() {
+    let (history, at) = (History::default(), start());
+    let named = [("r-1".to_owned(), "order-1".to_owned(), at + seconds(2))];
+    let outcomes = [outcome(Kind::Status, at, answered(503, ""))];
+    let check = |after_ms| {
+        let runs = [run("r-1", "order-1", at + Duration::from_millis(after_ms))];
+        checks::check_named_times(&history, &outcomes, &runs, &named).len()
+    };
+    assert_eq!((check(300), check(700), check(1900), check(2100)), (0, 1, 1, 0));
+}
+
+#[test]
+fn an_answer_without_end_is_found() {
+    let check = |length| {
+        let end = answered(200, &"x".repeat(length));
+        checks::check_endless(&[outcome(Kind::Status, start(), end)]).len()
+    };
+    assert_eq!((check(4 * 1024 * 1024), check(4 * 1024 * 1024 + 1)), (0, 1));
+}
+
+#[test]
+fn a_disconnected_steady_reader_and_a_stalled_one_that_is_kept_are_found() {
+    let check = |is_steady, is_whole| {
+        let (history, sent_at) = (History::default(), start());
+        let ended_at = sent_at + seconds(11);
+        let read = SlowRead { entry: 0, is_steady, sent_at, ended_at, began: true, is_whole };
+        history.slow_reads.lock().push(read);
+        checks::check_slow_reads(&history).len()
+    };
+    assert_eq!((check(true, false), check(true, true)), (1, 0));
+    assert_eq!((check(false, true), check(false, false)), (1, 0));
+}
+
+#[test]
+fn bytes_that_an_entry_holds_for_no_caller_are_found() {
+    let check = |bytes| {
+        let name = "bitternlead_memory_held_bytes";
+        let text = format!("{name}{{kind=\"body\"}} 0\n{name}{{kind=\"stream\"}} {bytes}\n");
+        check_held_bytes(0, &text).len()
+    };
+    assert_eq!((check(70_000), check(0)), (1, 0));
+    assert_eq!(check_held_bytes(0, "").len(), 1);
+}
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -5,6 +5,7 @@
 
 use crate::history::{End, History, Kind, Outcome};
 use crate::servers::{EVENTS, Records, Run};
+use crate::slow_callers::SlowRead;
 
 /// Time after an acknowledgement within which a change is in force on every entry.
 pub const APPLY_LIMIT: Duration = Duration::from_millis(2000);
@@ -33,6 +34,16 @@
 const COLD_BOUND: f64 = 1.5 * COLD_PER_S + 5.0;
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time after an answer that said that its server leaves from which the entry that passed it on sends
+/// nothing there.
+pub const SAID_LEAVING_LIMIT: Duration = Duration::from_secs(1);
+
+/// Time for which requests that were on their way may still reach a server that named a time.
+pub const UNDER_WAY: Duration = Duration::from_millis(500);
+
+/// Largest answer that an entry passes on, and the size of the chunk with which it exceeds that.
+pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
 /// Time after the acknowledgement of a zone's drain from which its servers get nothing.
 pub const ZONE_DRAIN_LIMIT: Duration = Duration::from_millis(2000);
 
@@ -57,6 +68,12 @@
     findings.extend(check_configuration(history));
     findings.extend(check_limits(history, &runs));
     findings.extend(check_budget(&outcomes, &runs));
+    let said = records.said_leaving.lock().clone();
+    findings.extend(check_said_leaving(history, &outcomes, &runs, &said));
+    let named = records.named_times.lock().clone();
+    findings.extend(check_named_times(history, &outcomes, &runs, &named));
+    findings.extend(check_endless(&outcomes));
+    findings.extend(check_slow_reads(history));
     let part = records.crashing_part.lock().clone().unwrap_or_default();
     findings.extend(check_crashing_part(history, &runs, &part, records.crash_time(5)));
     findings
@@ -193,6 +210,93 @@
     findings
 }
 
+/// Entries that requests were sent to, by request.
+fn entries_by_request(outcomes: &[Outcome]) -> HashMap<&str, usize> {
+    outcomes.iter().map(|o| (o.id.as_str(), o.entry)).collect()
+}
+
+/// Runs that an entry sent to a server within a time span, if the entry was not disturbed. Entries
+/// don't tell each other what an answer said of its server.
+fn runs_of_entry<'a>(
+    history: &'a History,
+    entries: &'a HashMap<&str, usize>,
+    runs: &'a [Run],
+    (request, server): (&'a str, &'a str),
+    span: std::ops::Range<Instant>,
+) -> impl Iterator<Item = &'a Run> {
+    let entry = entries.get(request).copied();
+    runs.iter().filter(move |r| {
+        let is_of_entry = entry.is_some() && entries.get(r.request.as_str()).copied() == entry;
+        let was_untouched = |at| history.was_untouched(at, span.start - UNDER_WAY * 2, r.at);
+        r.server == server
+            && is_of_entry
+            && span.contains(&r.at)
+            && entry.is_some_and(was_untouched)
+    })
+}
+
+/// An entry that passed on an answer of a leaving server sends nothing there after a time.
+pub fn check_said_leaving(
+    history: &History,
+    outcomes: &[Outcome],
+    runs: &[Run],
+    said: &[(String, String, Instant)],
+) -> Vec<String> {
+    let entries = entries_by_request(outcomes);
+    let mut findings = Vec::new();
+    for (request, server, at) in said {
+        let span = *at + SAID_LEAVING_LIMIT..*at + Duration::from_secs(3600);
+        for run in runs_of_entry(history, &entries, runs, (request, server), span) {
+            let after = run.at - *at;
+            findings.push(format!("leaving: {server} got {} {after:?} later", run.request));
+        }
+    }
+    findings
+}
+
+/// An entry that was refused with a time sends nothing to that server before it.
+pub fn check_named_times(
+    history: &History,
+    outcomes: &[Outcome],
+    runs: &[Run],
+    named: &[(String, String, Instant)],
+) -> Vec<String> {
+    let entries = entries_by_request(outcomes);
+    let mut findings = Vec::new();
+    for (request, server, until) in named {
+        let span = *until - crate::servers::NAMED_TIME + UNDER_WAY..*until;
+        for run in runs_of_entry(history, &entries, runs, (request, server), span) {
+            let before = *until - run.at;
+            findings.push(format!("named time: {server} got {} {before:?} early", run.request));
+        }
+    }
+    findings
+}
+
+/// A steady reader gets its whole answer. One that reads nothing is disconnected before it reads on 10 s
+/// after its request: 9 s after the last progress, and up to a second until the answer begins.
+/// Neither is checked at entries that were disturbed.
+pub fn check_slow_reads(history: &History) -> Vec<String> {
+    let reads = history.slow_reads.lock();
+    let is_checked =
+        |r: &&SlowRead| r.began && history.was_untouched(r.entry, r.sent_at, r.ended_at);
+    let checked: Vec<&SlowRead> = reads.iter().filter(is_checked).collect();
+    println!("slow reads checked: {} of {}", checked.len(), reads.len());
+    let wrong = checked.into_iter().filter(|r| r.is_whole != r.is_steady);
+    wrong.map(|r| format!("slow reader: wrong end of {r:?}")).collect()
+}
+
+/// No answer exceeds the bound on answers. That endless ones end in time is part of
+/// [`check_final_in_time`].
+pub fn check_endless(outcomes: &[Outcome]) -> Vec<String> {
+    let is_large = |o: &&Outcome| match &o.end {
+        End::Answered { body: Some(body), .. } => body.len() > MAX_ANSWER_BYTES,
+        _ => false,
+    };
+    let large = outcomes.iter().filter(is_large);
+    large.map(|o| format!("endless: an answer above 4 MiB to {}", o.id)).collect()
+}
+
 /// What was acknowledged is in force in time, and no entry goes back while it runs.
 pub fn check_configuration(history: &History) -> Vec<String> {
     let acked: BTreeMap<u64, Instant> =
--- a/tests/soak/conductor.rs
+++ b/tests/soak/conductor.rs
@@ -227,7 +227,7 @@
             return;
         }
         let now = Instant::now();
-        match self.rng.random_range(0..9) {
+        match self.rng.random_range(0..12) {
             8 if service == "engines" => {
                 self.history.count("cold again");
                 let from = now + COLD_NEWS_TIME;
@@ -246,6 +246,12 @@
                 self.start_server(service).await;
                 self.undo.push((Instant::now() + DRAIN_TIME, Undo::Replace(id)));
             }
+            9 => {
+                self.history.count("server says it leaves");
+                self.servers[at].set(ServerMode::SaysItLeaves);
+                self.start_server(service).await;
+                self.undo.push((now + DRAIN_TIME, Undo::Replace(id)));
+            }
             2 => {
                 self.history.count("server crash");
                 self.servers.remove(at).crash();
@@ -265,6 +271,14 @@
                     4 => ServerMode::Slow,
                     5 => ServerMode::DropsResponse,
                     6 => ServerMode::TruncatesStream,
+                    10 => {
+                        self.history.count("server names a time");
+                        ServerMode::NamesTime
+                    }
+                    11 => {
+                        self.history.count("endless answers");
+                        ServerMode::SendsWithoutEnd
+                    }
                     _ => ServerMode::Refuses,
                 };
                 self.servers[at].set(mode);
@@ -314,6 +328,15 @@
         }
     }
 
+    /// Whether the entries have released the bytes that they held for callers that are gone.
+    pub async fn check_nothing_held(&self) -> Vec<String> {
+        let mut findings = Vec::new();
+        for at in 0..self.nodes.entries.len() {
+            findings.extend(check_held_bytes(at, &self.nodes.metrics(at).await));
+        }
+        findings
+    }
+
     /// Whether all reservations of KV cache are gone or have run out.
     pub async fn check_nothing_reserved(&self) -> Vec<String> {
         sleep(Duration::from_secs(4)).await;
@@ -323,3 +346,14 @@
         held.map(|(id, ..)| format!("memory: {id} is still reserved")).collect()
     }
 }
+
+/// Finds held bytes in the metrics of an entry that serves no caller.
+pub fn check_held_bytes(entry: usize, metrics: &str) -> Vec<String> {
+    let held = metrics.lines().filter(|l| l.starts_with("bitternlead_memory_held_bytes{"));
+    let lines: Vec<&str> = held.collect();
+    if lines.is_empty() {
+        return vec![format!("held bytes: entry {entry} states none")];
+    }
+    let held = lines.into_iter().filter(|line| !line.ends_with(" 0"));
+    held.map(|line| format!("held bytes: entry {entry}: {line}")).collect()
+}
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -5,6 +5,8 @@
 
 use parking_lot::Mutex;
 
+use crate::slow_callers::SlowRead;
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -108,6 +110,7 @@
     pub outcomes: Mutex<Vec<Outcome>>,
     pub acked: Mutex<Vec<AckedChange>>,
     pub probes: Mutex<Vec<Probe>>,
+    pub slow_reads: Mutex<Vec<SlowRead>>,
     pub disturbances: Mutex<Vec<Disturbance>>,
     /// Servers that said that they leave, and when that was acknowledged.
     pub drains: Mutex<Vec<(String, Instant)>>,
@@ -152,6 +155,15 @@
         })
     }
 
+    /// Whether this entry itself was not disturbed between two times; enough for an answer that it
+    /// already holds, which needs no control and no other entry.
+    pub fn was_untouched(&self, entry: usize, from: Instant, to: Instant) -> bool {
+        self.disturbances.lock().iter().all(|d| {
+            let is_over = d.until.is_some_and(|until| until < from);
+            d.target != Target::Entry(entry) || d.from > to || is_over
+        })
+    }
+
     /// Whether the entry was started anew between two times.
     pub fn was_restarted(&self, entry: usize, from: Instant, to: Instant) -> bool {
         self.disturbances.lock().iter().any(|d| {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -17,6 +17,7 @@
 #[path = "../platform/servers.rs"]
 #[allow(dead_code)]
 mod servers;
+mod slow_callers;
 
 use std::str::FromStr;
 use std::sync::Arc;
@@ -45,6 +46,9 @@
 /// Length of the traffic after the recovery.
 const FINAL_TRAFFIC: Duration = Duration::from_secs(3);
 
+/// Number of callers that read slowly or not at all. They ask for 3 MB each, so a few suffice.
+const SLOW_CALLERS: u64 = 4;
+
 /// Settings of a run, from the environment.
 #[derive(Clone, Debug)]
 struct SoakSettings {
@@ -103,10 +107,15 @@
         operator.operate(rng(1), task_cx).await;
         operator
     });
+    let mut slow_tasks = Vec::new();
     let callers = Callers { entries, history: Arc::clone(&history) };
     for n in 0..cfg.entries * cfg.callers_per_entry {
         tasks.push(tokio::spawn(callers.clone().call_forever(rng(10 + n as u64), cx.clone())));
     }
+    for n in 0..SLOW_CALLERS {
+        let reading = callers.clone().read_slowly(rng(1000 + n), operating.clone());
+        slow_tasks.push(tokio::spawn(reading));
+    }
     let part = format!("bad{}", cfg.seed);
     *conductor.records.crashing_part.lock() = Some(part.clone());
     tasks.push(tokio::spawn(callers.clone().crash_servers(part, rng(3), operating.clone())));
@@ -128,12 +137,13 @@
     );
     sleep(FINAL_TRAFFIC).await;
     cx.cancel();
-    for task in tasks {
+    for task in tasks.into_iter().chain(slow_tasks) {
         let _ = task.await;
     }
     let mut findings = checks::check_all(&history, &conductor.records);
     findings.extend(operator.check_read_back().await);
     findings.extend(conductor.check_nothing_reserved().await);
+    findings.extend(conductor.check_nothing_held().await);
     println!("{}", history.summary());
     assert!(findings.is_empty(), "seed {}: {findings:#?}", cfg.seed);
 }
