--- a/examples/heavy.rs
+++ b/examples/heavy.rs
@@ -8,9 +8,9 @@
 
 use bitternlead::gateway::placement::policy::Policy;
 
-use crate::emulator::fleet::{Outcome, Summary, run_policy, summarize};
+use crate::emulator::fleet::{Outcome, Placed, Summary, run_policy, summarize};
 use crate::emulator::load::{
-    Preset, contended, contended_bursts, grown, large, scaled, small, with_burst,
+    Preset, contended, contended_bursts, grown, large, scaled, short_bursts, small, with_burst,
 };
 use crate::emulator::router::Router;
 
@@ -81,6 +81,46 @@
     }
 }
 
+/// Prints, for each span of the load, what was so when its short prompts were placed: those that were
+/// in time, those that were late although their plan was in time, and those placed as late.
+fn print_placements(preset: &Preset, outcomes: &[Outcome]) {
+    let mut start_ms = 0.0;
+    for span in &preset.phases {
+        let end_ms = start_ms + span.length_ms;
+        let in_span = |f: &&Outcome| f.kind == 0 && f.at_ms >= start_ms && f.at_ms < end_ms;
+        let of_span: Vec<(&Outcome, Placed)> =
+            outcomes.iter().filter(in_span).filter_map(|f| Some((f, f.placed?))).collect();
+        for group in ["in time", "late", "placed late"] {
+            let of: Vec<&(&Outcome, Placed)> = of_span
+                .iter()
+                .filter(|(f, placed)| match group {
+                    "in time" => f.earned >= f.value,
+                    "late" => f.earned < f.value && !placed.late,
+                    _ => f.earned < f.value && placed.late,
+                })
+                .collect();
+            let mean = |figure: &dyn Fn(&Placed) -> f64| {
+                of.iter().map(|(_, p)| figure(p)).sum::<f64>() / of.len().max(1) as f64
+            };
+            let share = |holds: &dyn Fn(&Placed) -> bool| mean(&|p| f64::from(u8::from(holds(p))));
+            println!(
+                "{:>6.1} s {group:<11} {:>4}: placed after {:>4.0} ms, free slots {:>3.0}, none at the engine {:.2} (known {:.2}), waited for a slot {:.2}, others unseen {:.2}, late holders {:.2}, other zone {:.2}",
+                start_ms / 1000.0,
+                of.len(),
+                mean(&|p| p.after_ms),
+                mean(&|p| p.free_slots.0 as f64),
+                share(&|p| p.free_slots.1 == 0),
+                share(&|p| p.known_free == 0),
+                share(&|p| p.waited_for_slot),
+                share(&|p| p.unseen > 0),
+                mean(&|p| p.late_holders as f64),
+                share(&|p| p.cross_zone),
+            );
+        }
+        start_ms = end_ms;
+    }
+}
+
 /// Runs a preset with each of the seeds.
 fn run_seeds(preset: &Preset, router: Router, policy: &Policy, seeds: u64) -> Vec<Summary> {
     let spawn = |seed| {
@@ -132,7 +172,8 @@
     grown_burst.name = "grown burst";
     let mut part = scaled(large(), 1.0 / 6.6);
     part.name = "large part";
-    let mut presets: Vec<Preset> = vec![small(), burst, grown(), grown_burst, large(), part];
+    let mut presets: Vec<Preset> =
+        vec![small(), burst, grown(), grown_burst, large(), part, short_bursts()];
     for (name, preset) in [
         ("contended x1", contended(1.0)),
         ("contended x2", contended(2.0)),
@@ -154,7 +195,9 @@
         }
         if options.detail {
             let policy = &policies[0].1;
-            print_detail(preset, &run_policy(preset, Router::Gateway, 1, policy));
+            let outcomes = run_policy(preset, Router::Gateway, 1, policy);
+            print_detail(preset, &outcomes);
+            print_placements(preset, &outcomes);
             continue;
         }
         for (name, policy) in &policies {
--- a/tests/emulator/engine.rs
+++ b/tests/emulator/engine.rs
@@ -80,6 +80,16 @@
         });
     }
 
+    /// Number of slots that no request holds.
+    pub fn free_slots(&self) -> usize {
+        (self.model.slots as usize).saturating_sub(self.running.len())
+    }
+
+    /// Whether a request waits for a slot.
+    pub fn is_queued(&self, send: SendId) -> bool {
+        self.queued.iter().any(|w| w.prefill.send == send)
+    }
+
     fn push_prefill(&mut self, prefill: Prefill) {
         let at = if prefill.shared { 0 } else { self.prefills.len() };
         self.prefills.insert(at, prefill);
--- a/tests/emulator/fleet.rs
+++ b/tests/emulator/fleet.rs
@@ -29,9 +29,12 @@
 use super::load::{Arrival, Kind, Preset, draw};
 use super::router::Router;
 
-/// One-way latency between an entry and an engine, in milliseconds.
+/// One-way latency between an entry and an engine, in milliseconds, if there is one zone.
 const LATENCY_MS: f64 = 0.7;
 
+/// One-way latency within a zone and between zones, in milliseconds.
+const ZONE_LATENCIES_MS: (f64, f64) = (0.3, 1.15);
+
 /// Bytes that the network adds to each datagram.
 const DATAGRAM_OVERHEAD_BYTES: usize = 28;
 
@@ -75,6 +78,29 @@
     pub earned: f64,
     /// Time to the first event as predicted for its last send, in milliseconds.
     pub predicted_ms: f64,
+    /// What was so when it was placed last; `None` if it was not.
+    pub placed: Option<Placed>,
+}
+
+/// State of the engines when a request was placed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Placed {
+    /// Time from the arrival in milliseconds.
+    pub after_ms: f64,
+    /// Whether it was placed as late, behind requests that can be in time.
+    pub late: bool,
+    /// Free slots at all engines, and at the chosen one.
+    pub free_slots: (usize, usize),
+    /// Slots of the chosen engine that no request holds or waits for, as far as the entry knew.
+    pub known_free: usize,
+    /// Requests of other entries that were sent to the chosen engine and not known at this entry.
+    pub unseen: usize,
+    /// Requests at the engine, when it arrived there, that hold a slot and are late already.
+    pub late_holders: usize,
+    /// Whether it waited for a slot at the engine.
+    pub waited_for_slot: bool,
+    /// Whether the engine is in another zone.
+    pub cross_zone: bool,
 }
 
 /// Results of a run, as fractions of the possible value unless stated otherwise.
@@ -137,6 +163,7 @@
     plan: Plan,
     keys: Vec<SendKey>,
     parts_left: usize,
+    sent_ms: f64,
     last_event_ms: Option<f64>,
 }
 
@@ -196,12 +223,38 @@
     fleet.outcomes
 }
 
+/// Zone of an entry or an engine.
+fn zone(preset: &Preset, index: usize, is_entry: bool) -> usize {
+    let size = |z: &(usize, usize)| if is_entry { z.1 } else { z.0 };
+    let whole: usize = preset.zones.iter().map(size).sum();
+    let mut left = if whole > 0 { index % whole } else { 0 };
+    for (zone, sizes) in preset.zones.iter().enumerate() {
+        if left < size(sizes) {
+            return zone;
+        }
+        left -= size(sizes);
+    }
+    0
+}
+
+/// One-way latency between an entry and an engine, in milliseconds.
+fn latency_ms(preset: &Preset, entry: usize, engine: usize) -> f64 {
+    let (within, between) = ZONE_LATENCIES_MS;
+    match (preset.zones.is_empty(), zone(preset, entry, true) == zone(preset, engine, false)) {
+        (true, _) => LATENCY_MS,
+        (false, true) => within,
+        (false, false) => between,
+    }
+}
+
 impl<'a> Fleet<'a> {
     fn new(preset: &'a Preset, router: Router, arrivals: Vec<Arrival>, seed: u64) -> Self {
         let model = EngineModel {
             slots: preset.slots,
             memory_tokens: preset.memory,
             stride: preset.stride,
+            prefill_tokens_per_ms: preset.speed.0,
+            step_ms: preset.speed.1,
             ..EngineModel::default()
         };
         let entry = |_| Entry {
@@ -406,7 +459,10 @@
         let indices: Vec<usize> = (0..self.ids.len() - self.lost_engines).collect();
         let drawn: Vec<usize> = draw_candidates(&indices, req.request_hash).copied().collect();
         let ids = drawn.iter().map(|at| &self.ids[*at]);
-        let complete = |_, state: &mut EngineState| state.round_trip_ms = 2.0 * LATENCY_MS;
+        let preset = self.preset;
+        let complete = |index: usize, state: &mut EngineState| {
+            state.round_trip_ms = 2.0 * latency_ms(preset, entry, drawn[index]);
+        };
         let engines = KnownEngines::new(&self.model, now, ids, in_flight, complete, |_| 1.0);
         let backlog = || mean_backlog_ms(engines.all());
         req.smoothed_backlog_ms = if is_worth_splitting(&self.model, req.prompt_tokens) {
@@ -421,10 +477,14 @@
             self.router.decide(&self.policy, model, &engines, &req, order.as_ref(), request, rng);
         match decided {
             Decision::Send(mut plan) => {
+                let known = engines.state(plan.primary).request_count;
                 plan.primary = drawn[plan.primary];
                 plan.helpers.iter_mut().for_each(|h| h.index = drawn[h.index]);
                 let sends_made = plan.sends_to(|index| &self.ids[index], &req, now);
                 self.send(request, entry, plan, sends_made);
+                if let Some(placed) = &mut self.outcomes[request].placed {
+                    placed.known_free = (self.model.slots as usize).saturating_sub(known);
+                }
                 return Attempt::Placed;
             }
             Decision::Wait(_) if place.is_some() => return Attempt::Waits,
@@ -496,13 +556,18 @@
         let in_flight = &mut self.entries[entry].in_flight;
         let keys = sends_made.into_iter().map(|f| in_flight.insert(f)).collect();
         self.outcomes[request].predicted_ms = plan.first_token_ms;
+        self.outcomes[request].placed = Some(self.describe(request, entry, &plan));
         let engines: Vec<usize> =
             std::iter::once(plan.primary).chain(plan.helpers.iter().map(|h| h.index)).collect();
         let parts_left = engines.len();
-        self.sends
-            .insert(send, Send { request, entry, plan, keys, parts_left, last_event_ms: None });
+        let sent_ms = self.now;
+        self.sends.insert(
+            send,
+            Send { request, entry, plan, keys, parts_left, sent_ms, last_event_ms: None },
+        );
         for engine in engines {
-            self.schedule(self.now + LATENCY_MS, Event::Reach { send, engine });
+            let at = self.now + latency_ms(self.preset, entry, engine);
+            self.schedule(at, Event::Reach { send, engine });
         }
         let kind = self.kind(request);
         let gap = (4.0 * kind.objective_ms).max(8.0 * kind.pause_limit_ms).max(2_000.0);
@@ -511,6 +576,27 @@
         self.mark_changed(entry);
     }
 
+    fn describe(&self, request: usize, entry: usize, plan: &Plan) -> Placed {
+        let is_unseen = |s: &&Send| {
+            let sent_ago_ms = self.now - s.sent_ms;
+            s.entry != entry
+                && s.plan.primary == plan.primary
+                && sent_ago_ms < self.preset.load_latency_ms
+        };
+        let free = |engine: &Engine| engine.free_slots();
+        Placed {
+            after_ms: self.now - self.outcomes[request].at_ms,
+            late: plan.late,
+            free_slots: (
+                self.engines.iter().map(free).sum(),
+                self.engines[plan.primary].free_slots(),
+            ),
+            unseen: self.sends.values().filter(is_unseen).count(),
+            cross_zone: zone(self.preset, entry, true) != zone(self.preset, plan.primary, false),
+            ..Placed::default()
+        }
+    }
+
     fn reach(&mut self, send: SendId, engine: usize) {
         let Some(s) = self.sends.get(&send) else { return };
         let width = s.plan.helpers.len() + 1;
@@ -519,6 +605,18 @@
         if engine == s.plan.primary {
             let rank = if s.plan.late { RANKS.1 } else { RANKS.0 };
             self.engines[engine].enqueue(send, tokens, part_ms, width > 1, rank);
+            let waits = self.engines[engine].is_queued(send);
+            let is_late_holder = |s: &&Send| {
+                let kind = &self.preset.kinds[self.outcomes[s.request].kind];
+                let waited_ms = self.now - self.outcomes[s.request].at_ms;
+                let first_ms = self.outcomes[s.request].first_ms.unwrap_or(waited_ms);
+                s.plan.primary == engine && first_ms > kind.objective_ms
+            };
+            let held = self.sends.iter().filter(|(id, _)| !self.engines[engine].is_queued(**id));
+            let late_holders = held.map(|(_, s)| s).filter(is_late_holder).count();
+            if let Some(placed) = &mut self.outcomes[s.request].placed {
+                (placed.waited_for_slot, placed.late_holders) = (waits, late_holders);
+            }
         } else {
             self.engines[engine].enqueue_part(send, tokens, part_ms);
         }
--- a/tests/emulator/load.rs
+++ b/tests/emulator/load.rs
@@ -58,6 +58,10 @@
     pub memory: u64,
     /// Decoding steps of a pass, and so the tokens of an event.
     pub stride: u32,
+    /// Prefill speed of an engine in tokens per millisecond, and base time of a step in milliseconds.
+    pub speed: (f64, f64),
+    /// Parts of the engines and of the entries in each availability zone; none if there is one zone.
+    pub zones: Vec<(usize, usize)>,
     /// Kinds of request: short, medium and long.
     pub kinds: [Kind; 3],
     /// Consecutive phases of the load.
@@ -115,6 +119,8 @@
         slots: 16,
         memory: 450_000,
         stride: 46,
+        speed: (256.0, 0.925),
+        zones: Vec::new(),
         kinds: [
             kind("short", 30.7, short.0, short.1, 300.0, 200.0, 10_000.0, (1.3, 0.33)),
             kind("medium", 2.23, medium.0, medium.1, 1_500.0, 500.0, 10_000.0, (3.1, 0.79)),
@@ -211,6 +217,34 @@
     preset
 }
 
+/// 78 engines before 12 entries of three zones, without an order. Half of the requests arrive in a zone
+/// with a third of the engines. In two spans of 6 s the short prompts rise to 380/s, for which 0.81 of
+/// the slots would be enough, while long prompts go on.
+pub fn short_bursts() -> Preset {
+    let mut preset = large();
+    preset.name = "short bursts";
+    (preset.engines, preset.entries) = (78, 12);
+    (preset.slots, preset.memory, preset.speed) = (12, 267_750, (177.0, 0.85));
+    preset.zones = vec![(1, 3), (1, 2), (1, 1)];
+    let [short, medium, long] = &mut preset.kinds;
+    (short.per_s, short.value) = (111.0, (1.3, 0.33));
+    (short.prompt.0, short.events) = (5_000.0, (25.0, 0.7, 62.5));
+    (medium.per_s, medium.value) = (7.0, (3.5, 0.88));
+    medium.events = (14.8, 0.6, 37.0);
+    (long.per_s, long.value) = (3.0, (29.0, 7.4));
+    (long.prompt.0, long.events) = (220_000.0, (12.5, 0.5, 31.0));
+    let phase = |length_ms, factors| Phase { length_ms, factors };
+    let burst = [380.0 / 111.0, 1.0, 1.0];
+    preset.phases = vec![
+        phase(2_000.0, [1.0; 3]),
+        phase(6_000.0, burst),
+        phase(4_000.0, [1.0; 3]),
+        phase(6_000.0, burst),
+        phase(2_000.0, [1.0; 3]),
+    ];
+    preset
+}
+
 /// The same engines and kinds of request at a share of the size: `part` of the engines, entries and
 /// arrivals.
 pub fn scaled(mut preset: Preset, part: f64) -> Preset {
