Compress updates of control once for all subscribers

After a full stop each gateway gets the list of all endpoints from each replica, and each change after that, encoded anew for each of them. In the new test (one replica, 300 gateways, 3,000 endpoints, debug build beside other work) connections are lost under that load, and each new one starts with the whole list again: in 46 s 300 gateways subscribed 2,189 times and got 1,619 lists.

Subscribers that say so get updates compressed, encoded once for all of them. The list is kept for up to 1 s and comes with the changes since then. Relayed announcements are compressed in batches where the greeting of the other replica allows it; those that only repeat the previous one are gathered for 150 ms. Control processes without a disk subscribe to the replicas only. An update without endpoints is no longer sent. Earlier builds set none of the new fields and get what they got before.

--- /dev/null
+++ b/src/control/announcement_relay.rs
@@ -0,0 +1,148 @@
+//! Forwards announcements of endpoints from the replica that received them to the others.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
+use tokio_util::sync::CancellationToken;
+
+use super::core_config::Published;
+use super::packing::pack_announcements;
+use crate::clock::boot_now;
+use crate::directory::{age_cold_time, equal_except_countdown};
+use crate::ids::Moment;
+use crate::wire::envelope::Body;
+use crate::wire::link::{Link, LinkConfig};
+use crate::wire::{Announcement, Standing};
+
+/// Time for which announcements to another replica are gathered, so that they share a write. It is
+/// part of the time in which a change of an endpoint's state reaches all entries.
+const RELAY_DELAY: Duration = Duration::from_millis(15);
+
+/// Time for which announcements are gathered that repeat the previous one. They only have to arrive
+/// within the silence timeout of the other replicas, and larger batches compress better.
+const REPEAT_RELAY_DELAY: Duration = Duration::from_millis(150);
+
+/// Number of announcements that may be queued for one replica: those that 3,000 endpoints send to one
+/// replica within 100 ms.
+const MAX_QUEUED_RELAYS: usize = 256;
+
+/// Number of announcements in one batch.
+const MAX_BATCH: usize = 1_024;
+
+/// Number of endpoints whose last announcement is remembered; beyond it, all are forgotten, so that
+/// the next announcement of each is relayed like a change.
+const MAX_REMEMBERED_ENDPOINTS: usize = 16_384;
+
+/// An announcement on its way to another replica.
+#[derive(Clone)]
+struct QueuedAnnouncement {
+    received_at: Moment,
+    delay: Duration,
+    announcement: Announcement,
+}
+
+/// Forwards announcements to all other replicas, with one task and link for each.
+///
+/// Announcements that find a full queue or no connection are dropped; endpoints repeat them.
+pub async fn relay_announcements(
+    mut rx: mpsc::UnboundedReceiver<Announcement>,
+    published: watch::Receiver<Published>,
+    own: String,
+    cfg: LinkConfig,
+    cx: CancellationToken,
+) {
+    let mut links: HashMap<String, mpsc::Sender<QueuedAnnouncement>> = HashMap::new();
+    let mut previous: HashMap<String, Announcement> = HashMap::new();
+    while let Some(announcement) = rx.recv().await {
+        let received_at = boot_now();
+        let is_repeat = is_repeat(&mut previous, &announcement);
+        let delay = if is_repeat { REPEAT_RELAY_DELAY } else { RELAY_DELAY };
+        let published = published.borrow();
+        let replicas = &published.replicas;
+        links.retain(|address, _| replicas.iter().any(|r| r.address == *address));
+        for replica in replicas.iter().filter(|r| r.address != own) {
+            let tx = links.entry(replica.address.clone()).or_insert_with(|| {
+                let (tx, rx) = mpsc::channel(MAX_QUEUED_RELAYS);
+                if let Ok(addr) = replica.address.parse() {
+                    tokio::spawn(relay_to_replica(addr, rx, cfg.clone(), cx.clone()));
+                }
+                tx
+            });
+            let announcement = announcement.clone();
+            let _ = tx.try_send(QueuedAnnouncement { received_at, delay, announcement });
+        }
+    }
+}
+
+/// Whether an announcement says the same as the previous one of its endpoint, which it replaces. The
+/// countdown of a cold endpoint is not taken for a repetition.
+fn is_repeat(previous: &mut HashMap<String, Announcement>, announcement: &Announcement) -> bool {
+    if previous.len() >= MAX_REMEMBERED_ENDPOINTS {
+        previous.clear();
+    }
+    if announcement.standing() == Standing::Gone || announcement.cold_ms > 0 {
+        previous.remove(&announcement.id);
+        return false;
+    }
+    match previous.get(&announcement.id) {
+        Some(known) if equal_except_countdown(known, announcement) => true,
+        _ => {
+            previous.insert(announcement.id.clone(), announcement.clone());
+            false
+        }
+    }
+}
+
+async fn relay_to_replica(
+    addr: SocketAddr,
+    mut rx: mpsc::Receiver<QueuedAnnouncement>,
+    cfg: LinkConfig,
+    cx: CancellationToken,
+) {
+    let mut link: Option<Link> = None;
+    while let Some(first) = rx.recv().await {
+        if link.as_ref().is_none_or(|l| l.is_closed()) {
+            link = Link::connect(addr, &cfg, &cx).await.ok();
+        }
+        let Some(link) = &link else { continue };
+        let batch = gather(first, &mut rx).await;
+        let packed = if link.peer_reads_packed() { pack_announcements(&batch) } else { None };
+        match packed {
+            Some(packed) => {
+                link.try_send(Body::PackedAnnouncements(packed));
+            }
+            None => {
+                for announcement in batch {
+                    link.try_send(Body::Announcement(announcement));
+                }
+            }
+        }
+    }
+}
+
+/// Gathers announcements until the first of them is due.
+async fn gather(
+    first: QueuedAnnouncement,
+    rx: &mut mpsc::Receiver<QueuedAnnouncement>,
+) -> Vec<Announcement> {
+    let mut due = Instant::now() + first.delay;
+    let mut batch = vec![first];
+    while batch.len() < MAX_BATCH {
+        tokio::select! {
+            () = sleep_until(due) => break,
+            next = rx.recv() => {
+                let Some(next) = next else { break };
+                due = due.min(Instant::now() + next.delay);
+                batch.push(next);
+            }
+        }
+    }
+    let now = boot_now();
+    let aged = |queued: QueuedAnnouncement| {
+        age_cold_time(queued.announcement, now.saturating_sub(queued.received_at))
+    };
+    batch.into_iter().map(aged).collect()
+}
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -13,11 +13,13 @@
 
 use super::bootstrap::BootstrapService;
 use super::core_config::Published;
+use super::packing::{pack_update, unpack_announcements};
 use super::recent_documents::RecentDocuments;
 use crate::clock::boot_now;
 use crate::directory::Directory;
 use crate::document::UnpackError;
 use crate::event;
+use crate::ids::Moment;
 use crate::quarantine::Quarantine;
 use crate::wire::envelope::Body;
 use crate::wire::server::{Conn, Handler};
@@ -50,6 +52,16 @@
 /// wait for one part, not for the document.
 const DOCUMENT_PART_BYTES: usize = 32 * 1024;
 
+/// Time for which the list of all endpoints is sent to new subscribers, with the later changes,
+/// before it is built anew: compressing it takes longer than sending it.
+const LIST_VALIDITY: Duration = Duration::from_secs(1);
+
+/// The same for a list with cold endpoints, whose remaining cold times do not advance in the list.
+const COLD_LIST_VALIDITY: Duration = Duration::from_millis(50);
+
+/// Number of listed endpoints for each change after which the list is built anew.
+const MIN_ENDPOINTS_PER_CHANGE: usize = 8;
+
 /// Fraction of the silence timeout within which an endpoint known from an earlier run has to
 /// announce itself.
 const RESTORED_SILENCE_SHARE: f64 = 0.6;
@@ -64,6 +76,9 @@
     drains_revision: Option<u64>,
     /// Whether the subscriber fetches documents when their version is offered.
     fetches_documents: bool,
+    reads_packed: bool,
+    /// Whether the subscriber needs neither endpoints nor load addresses.
+    replicas_only: bool,
     tx: mpsc::Sender<News>,
     cx: CancellationToken,
 }
@@ -102,6 +117,51 @@
     }
 }
 
+/// An update for several subscribers, compressed once for all that read that.
+struct Broadcast {
+    plain: News,
+    packed: Option<News>,
+}
+
+impl Broadcast {
+    fn new(plain: News) -> Self {
+        let packed = pack_update(&plain);
+        Self { plain, packed }
+    }
+
+    fn send_to(&self, subscriber: &Subscriber) {
+        if subscriber.replicas_only {
+            return;
+        }
+        let packed = self.packed.as_ref().filter(|_| subscriber.reads_packed);
+        subscriber.send(packed.unwrap_or(&self.plain).clone());
+    }
+}
+
+/// The compressed list of all endpoints for new subscribers.
+struct EndpointList {
+    packed: News,
+    endpoints: usize,
+    valid_until: Moment,
+    /// Endpoints that changed after the list was built.
+    changed: HashMap<String, Announcement>,
+}
+
+impl EndpointList {
+    /// Builds the list; `None` if it is too short to be compressed.
+    fn build(now: Moment, announcements: Vec<Announcement>) -> Option<Self> {
+        let is_cold = announcements.iter().any(|a| a.cold_ms > 0);
+        let validity = if is_cold { COLD_LIST_VALIDITY } else { LIST_VALIDITY };
+        let endpoints = announcements.len();
+        let packed = pack_update(&News { announcements, full: true, ..News::default() })?;
+        Some(Self { packed, endpoints, valid_until: now + validity, changed: HashMap::new() })
+    }
+
+    fn is_valid(&self, now: Moment) -> bool {
+        now < self.valid_until && self.changed.len() * MIN_ENDPOINTS_PER_CHANGE <= self.endpoints
+    }
+}
+
 #[derive(Default)]
 struct Inner {
     directory: Directory,
@@ -110,6 +170,27 @@
     recent: RecentDocuments,
     /// Endpoints that changed and were not sent to subscribers yet.
     changed_endpoints: HashMap<String, Announcement>,
+    endpoint_list: Option<EndpointList>,
+}
+
+impl Inner {
+    /// The part of a first update that lists all endpoints.
+    fn list_endpoints(&mut self, now: Moment, reads_packed: bool) -> News {
+        if !reads_packed {
+            let announcements = self.directory.announcements(now);
+            return News { announcements, full: true, ..News::default() };
+        }
+        if self.endpoint_list.as_ref().is_none_or(|list| !list.is_valid(now)) {
+            self.endpoint_list = EndpointList::build(now, self.directory.announcements(now));
+        }
+        match &self.endpoint_list {
+            Some(list) => {
+                let announcements = list.changed.values().cloned().collect();
+                News { announcements, full: true, ..list.packed.clone() }
+            }
+            None => self.list_endpoints(now, false),
+        }
+    }
 }
 
 /// Endpoint directory and subscribers of one control replica.
@@ -183,9 +264,8 @@
             return;
         }
         self.quarantine_changed.notify_one();
-        for subscriber in inner.subscribers.values() {
-            subscriber.send(News { quarantine: Some(report.clone()), ..News::default() });
-        }
+        let update = Broadcast::new(News { quarantine: Some(report), ..News::default() });
+        inner.subscribers.values().for_each(|subscriber| update.send_to(subscriber));
     }
 
     /// Applies an announcement that an endpoint sent to this replica and relays it.
@@ -231,7 +311,13 @@
         }
         self.endpoints_changed.notify_one();
         let changed = announcements.into_iter().map(|a| (a.id.clone(), a));
-        self.inner.lock().changed_endpoints.extend(changed);
+        let changed: HashMap<String, Announcement> = changed.collect();
+        let mut inner = self.inner.lock();
+        if let Some(list) = &mut inner.endpoint_list {
+            list.changed.extend(changed.clone());
+        }
+        inner.changed_endpoints.extend(changed);
+        drop(inner);
         self.endpoints_to_send.notify_one();
     }
 
@@ -244,12 +330,22 @@
                 () = self.endpoints_to_send.notified() => {}
             }
             sleep(ENDPOINTS_DELAY).await;
-            let mut inner = self.inner.lock();
-            let changed = std::mem::take(&mut inner.changed_endpoints);
-            let changed: Vec<Announcement> = changed.into_values().collect();
-            for subscriber in inner.subscribers.values() {
-                subscriber.send(News { announcements: changed.clone(), ..News::default() });
+            // Those that subscribe after this get the changes with their first update, and may get
+            // newer ones before this update is compressed.
+            let (changed, receivers) = {
+                let mut inner = self.inner.lock();
+                let changed = std::mem::take(&mut inner.changed_endpoints);
+                let receivers: Vec<u64> = inner.subscribers.keys().copied().collect();
+                (changed, receivers)
+            };
+            if changed.is_empty() {
+                continue;
             }
+            let announcements = changed.into_values().collect();
+            let update = Broadcast::new(News { announcements, ..News::default() });
+            let inner = self.inner.lock();
+            let receivers = receivers.iter().filter_map(|id| inner.subscribers.get(id));
+            receivers.for_each(|subscriber| update.send_to(subscriber));
         }
     }
 
@@ -283,20 +379,29 @@
             document_version: subscribe.document_version,
             drains_revision: None,
             fetches_documents: subscribe.fetches_documents,
+            reads_packed: subscribe.reads_packed,
+            replicas_only: subscribe.replicas_only,
             tx,
             cx: conn.cx.clone(),
         };
-        let load_addresses = load_addresses(inner.subscribers.values().chain([&subscriber]));
-        let initial = News {
-            load_addresses,
-            load_addresses_changed: true,
-            announcements: inner.directory.announcements(boot_now()),
-            full: true,
-            quarantine: Some(inner.quarantine.report_all(boot_now())),
-            replicas: published.replicas.clone(),
-            ..subscriber.state_update(&published)
-        };
-        subscriber.send(initial);
+        let replicas = published.replicas.clone();
+        let state = News { replicas, ..subscriber.state_update(&published) };
+        if subscriber.replicas_only {
+            subscriber.send(state);
+        } else {
+            let endpoints = inner.list_endpoints(boot_now(), subscriber.reads_packed);
+            let subscribers = inner.subscribers.values().chain([&subscriber]);
+            subscriber.send(News {
+                load_addresses: load_addresses(subscribers),
+                load_addresses_changed: true,
+                announcements: endpoints.announcements,
+                full: endpoints.full,
+                packed: endpoints.packed,
+                unpacked_len: endpoints.unpacked_len,
+                quarantine: Some(inner.quarantine.report_all(boot_now())),
+                ..state
+            });
+        }
         inner.subscribers.insert(conn.id, subscriber);
         drop(inner);
         self.load_addresses_changed.notify_one();
@@ -378,14 +483,10 @@
 
 /// Sends the load addresses of all subscribers to each of them.
 fn publish_load_addresses(inner: &Inner) {
-    let addresses = load_addresses(inner.subscribers.values());
-    for subscriber in inner.subscribers.values() {
-        subscriber.send(News {
-            load_addresses: addresses.clone(),
-            load_addresses_changed: true,
-            ..News::default()
-        });
-    }
+    let load_addresses = load_addresses(inner.subscribers.values());
+    let update =
+        Broadcast::new(News { load_addresses, load_addresses_changed: true, ..News::default() });
+    inner.subscribers.values().for_each(|subscriber| update.send_to(subscriber));
 }
 
 /// Builds the reply to a fetch: a part of the document, or the whole of it for processes that ask
@@ -434,6 +535,11 @@
             Body::FetchDocument(fetch) => self.hub.send_document(conn, call, fetch),
             Body::QuarantineReport(report) => self.hub.apply_quarantine_report(report),
             Body::Announcement(announcement) => self.hub.apply_announcement(announcement),
+            Body::PackedAnnouncements(packed) => {
+                // Damaged announcements are repeated by their endpoints.
+                let announcements = unpack_announcements(&packed).unwrap_or_default();
+                announcements.into_iter().for_each(|a| self.hub.apply_announcement(a));
+            }
             Body::RollCall(report) => self.bootstrap.handle_report(conn, call, report),
             other => self.fallback.on_message(conn, call, other),
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control role: a replicated log and the state that it holds, which is the configuration, the
 //! membership of replicas, orders to endpoints and claims of non-idempotent calls.
 
+pub mod announcement_relay;
 pub mod bootstrap;
 pub mod burn_counts;
 pub mod claims;
@@ -16,6 +17,7 @@
 pub mod node_registry;
 pub mod operators;
 pub mod orders;
+pub mod packing;
 pub mod peers;
 pub mod placement;
 pub mod quarantine_file;
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -150,7 +150,12 @@
 impl UpdateListener for ControlRelay {
     fn subscription(&self) -> Subscribe {
         let node = self.node.clone();
-        Subscribe { node, document_version: NO_DOCUMENT, ..Subscribe::default() }
+        Subscribe {
+            node,
+            document_version: NO_DOCUMENT,
+            replicas_only: true,
+            ..Subscribe::default()
+        }
     }
 
     fn on_connected(&self, control: SocketAddr) {
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use super::announcement_relay::relay_announcements;
 use super::bootstrap::{self, BootstrapService, REPORT_INTERVAL};
 use super::core::{Answer, Core, Input};
 use super::core_config::{CoreConfig, OnWriteError, Published};
@@ -26,16 +27,13 @@
 use super::state::ControlState;
 use super::store::{OpenedStore, Store, StoreError};
 use crate::clock::boot_now;
-use crate::directory::age_cold_time;
 use crate::event;
 use crate::http::Readiness;
-use crate::ids::Moment;
 use crate::metrics::Metrics;
 use crate::process::{self, RunError};
 use crate::raft::{Raft, RaftConfig};
-use crate::wire::envelope::Body;
-use crate::wire::link::{Link, LinkConfig};
-use crate::wire::{Announcement, Command, Document, Outcome, Replica, command};
+use crate::wire::link::LinkConfig;
+use crate::wire::{Command, Document, Outcome, Replica, command};
 
 /// Delay before another attempt to open the data directory.
 const OPEN_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -318,63 +316,3 @@
     };
     Core::new(core_cfg, own, raft, opened.store, state.unwrap_or_default(), peers, log.clone())
 }
-
-/// Time for which announcements to another replica are gathered, so that they share a write. It is
-/// part of the time in which a change of an endpoint's state reaches all entries.
-const RELAY_DELAY: Duration = Duration::from_millis(15);
-
-/// Number of announcements that may be queued for one replica: those that 3,000 endpoints send to one
-/// replica within 100 ms.
-const MAX_QUEUED_RELAYS: usize = 256;
-
-/// Forwards announcements to all other replicas, with one task and link for each.
-///
-/// Announcements that find a full queue or no connection are dropped; endpoints repeat them.
-async fn relay_announcements(
-    mut rx: mpsc::UnboundedReceiver<Announcement>,
-    published: watch::Receiver<Published>,
-    own: String,
-    cfg: LinkConfig,
-    cx: CancellationToken,
-) {
-    let mut links: std::collections::HashMap<String, mpsc::Sender<(Moment, Announcement)>> =
-        std::collections::HashMap::new();
-    while let Some(announcement) = rx.recv().await {
-        let received_at = boot_now();
-        let published = published.borrow();
-        let replicas = &published.replicas;
-        links.retain(|address, _| replicas.iter().any(|r| r.address == *address));
-        for replica in replicas.iter().filter(|r| r.address != own) {
-            let tx = links.entry(replica.address.clone()).or_insert_with(|| {
-                let (tx, rx) = mpsc::channel(MAX_QUEUED_RELAYS);
-                if let Ok(addr) = replica.address.parse() {
-                    tokio::spawn(relay_to_replica(addr, rx, cfg.clone(), cx.clone()));
-                }
-                tx
-            });
-            let _ = tx.try_send((received_at, announcement.clone()));
-        }
-    }
-}
-
-async fn relay_to_replica(
-    addr: SocketAddr,
-    mut rx: mpsc::Receiver<(Moment, Announcement)>,
-    cfg: LinkConfig,
-    cx: CancellationToken,
-) {
-    let mut link: Option<Link> = None;
-    while let Some((received_at, announcement)) = rx.recv().await {
-        if link.as_ref().is_none_or(|l| l.is_closed()) {
-            link = Link::connect(addr, &cfg, &cx).await.ok();
-        }
-        let Some(link) = &link else { continue };
-        sleep(RELAY_DELAY).await;
-        let mut next = Some((received_at, announcement));
-        while let Some((received_at, announcement)) = next {
-            let elapsed = boot_now().saturating_sub(received_at);
-            link.try_send(Body::Announcement(age_cold_time(announcement, elapsed)));
-            next = rx.try_recv().ok();
-        }
-    }
-}
--- a/src/control/subscriber.rs
+++ b/src/control/subscriber.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::document_fetcher::{DocumentFetch, DocumentFetcher};
+use super::packing::unpack_update;
 use super::service::SeedSource;
 use crate::clock::boot_now;
 use crate::wire::envelope::Body;
@@ -172,7 +173,8 @@
     async fn watch_once(self: &Arc<Self>, addr: SocketAddr, link: &LinkConfig) -> bool {
         let Ok(link) = Link::connect(addr, link, &self.cx).await else { return false };
         let mut call = link.open();
-        if call.send(Body::Subscribe(self.listener.subscription())).await.is_err() {
+        let subscribe = Subscribe { reads_packed: true, ..self.listener.subscription() };
+        if call.send(Body::Subscribe(subscribe)).await.is_err() {
             return false;
         }
         self.fetcher.connect(addr, link.clone());
@@ -183,6 +185,8 @@
         }
         while let Some(body) = call.next().await {
             let Body::News(update) = body else { continue };
+            // A new subscription starts with everything, so nothing is missing after it.
+            let Ok(update) = unpack_update(update) else { break };
             let offered = update.offered_version;
             self.handle_update(addr, update);
             if offered > 0 {
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -239,7 +239,7 @@
 }
 
 /// Whether two announcements differ in nothing but the sequence number and the cold time.
-fn equal_except_countdown(a: &Announcement, b: &Announcement) -> bool {
+pub(crate) fn equal_except_countdown(a: &Announcement, b: &Announcement) -> bool {
     let place = |a: &Announcement| (a.standing, a.born, a.slots);
     place(a) == place(b)
         && a.id == b.id
--- a/src/document.rs
+++ b/src/document.rs
@@ -23,6 +23,12 @@
         /// Error of the decoder.
         source: std::io::Error,
     },
+    /// The content is no encoded message.
+    #[snafu(display("the content is not a message: {source}"), context(false))]
+    NotAMessage {
+        /// Error of the protobuf decoder.
+        source: prost::DecodeError,
+    },
     /// The content is longer or shorter than the document says.
     #[snafu(display("the document has {actual} bytes instead of {expected}"))]
     WrongLength {
@@ -61,19 +67,24 @@
         if self.unpacked_len == 0 {
             return Ok(self.body.clone());
         }
-        let expected = (self.unpacked_len as usize).min(MAX_DOCUMENT_BYTES);
-        let mut content = Vec::with_capacity(expected);
-        let limit = expected as u64 + 1;
-        ZlibDecoder::new(self.body.as_ref()).take(limit).read_to_end(&mut content)?;
-        if content.len() != expected {
-            return WrongLengthSnafu { expected, actual: content.len() }.fail();
-        }
-        Ok(content.into())
+        unpack(&self.body, self.unpacked_len)
+    }
+}
+
+/// Decompresses data whose content has a known length of at most [`MAX_DOCUMENT_BYTES`].
+pub(crate) fn unpack(packed: &[u8], unpacked_len: u64) -> Result<Bytes, UnpackError> {
+    let expected = (unpacked_len as usize).min(MAX_DOCUMENT_BYTES);
+    let mut content = Vec::with_capacity(expected);
+    let limit = expected as u64 + 1;
+    ZlibDecoder::new(packed).take(limit).read_to_end(&mut content)?;
+    if content.len() != expected {
+        return WrongLengthSnafu { expected, actual: content.len() }.fail();
     }
+    Ok(content.into())
 }
 
 /// Compresses at the fastest level: the names of routes are random, so more effort gains little.
-fn compress(content: &[u8]) -> std::io::Result<Vec<u8>> {
+pub(crate) fn compress(content: &[u8]) -> std::io::Result<Vec<u8>> {
     let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
     encoder.write_all(content)?;
     encoder.finish()
--- a/src/gateway/control_updates.rs
+++ b/src/gateway/control_updates.rs
@@ -28,6 +28,7 @@
             load_address: self.load_address.to_string(),
             document_version: self.gateway.config_version(),
             fetches_documents: true,
+            ..Subscribe::default()
         }
     }
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -6,7 +6,7 @@
     pub call: u64,
     #[prost(
         oneof = "envelope::Body",
-        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62"
+        tags = "2, 3, 4, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -83,6 +83,8 @@
         DocumentPart(super::DocumentPart),
         #[prost(message, tag = "62")]
         QuarantineReport(super::QuarantineReport),
+        #[prost(message, tag = "63")]
+        PackedAnnouncements(super::PackedAnnouncements),
     }
 }
 /// Handshake, the first frame in each direction: protocol version, node and role of the sender.
@@ -94,6 +96,9 @@
     pub node: ::prost::alloc::string::String,
     #[prost(string, tag = "3")]
     pub role: ::prost::alloc::string::String,
+    /// Whether the sender reads packed announcements.
+    #[prost(bool, tag = "4")]
+    pub reads_packed: bool,
 }
 /// Error reply: a frame could not be decoded or a call could not be served.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -893,6 +898,15 @@
     #[prost(uint64, tag = "9")]
     pub cold_ms: u64,
 }
+/// Announcements that one replica relays to another: encoded `KnownEndpoints`, compressed (zlib), and
+/// their length before that. Only for replicas that read packed announcements.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PackedAnnouncements {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub packed: ::prost::bytes::Bytes,
+    #[prost(uint64, tag = "2")]
+    pub unpacked_len: u64,
+}
 /// Endpoints that a control replica knows, as it stores them for its next start.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct KnownEndpoints {
@@ -914,6 +928,12 @@
     /// document from one replica, instead of getting it from all.
     #[prost(bool, tag = "4")]
     pub fetches_documents: bool,
+    /// Whether the subscriber reads packed updates.
+    #[prost(bool, tag = "5")]
+    pub reads_packed: bool,
+    /// Whether the subscriber needs only the replicas: neither endpoints nor load addresses.
+    #[prost(bool, tag = "6")]
+    pub replicas_only: bool,
 }
 /// Changes since the last message to the same subscriber.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -943,6 +963,12 @@
     /// change.
     #[prost(message, optional, tag = "9")]
     pub zone_drains: ::core::option::Option<ZoneDrains>,
+    /// More fields of this message, encoded and compressed (zlib), and their length before that; only
+    /// for subscribers that read packed updates.
+    #[prost(bytes = "bytes", tag = "10")]
+    pub packed: ::prost::bytes::Bytes,
+    #[prost(uint64, tag = "11")]
+    pub unpacked_len: u64,
 }
 /// All availability zones that operators drain. Of several the one with the highest revision is in
 /// force; the revision is the version of the configuration records.
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -94,6 +94,7 @@
     tx: mpsc::Sender<Envelope>,
     calls: OpenCalls,
     next_id: Arc<AtomicU64>,
+    peer_reads_packed: bool,
     cx: CancellationToken,
 }
 
@@ -115,8 +116,7 @@
             .map_err(|e| fail(e.to_string()))?;
         let _ = stream.set_nodelay(true);
         let mut framed = Framed::new(stream, EnvelopeCodec::new(cfg.max_frame));
-        let hello =
-            Hello { version: PROTOCOL_VERSION, node: cfg.node.clone(), role: cfg.role.clone() };
+        let hello = build_hello(cfg);
         let hello_frame = Envelope { call: 0, body: Some(Body::Hello(hello)) };
         if is_blocked("wire.send") || is_blocked("wire.receive") {
             tokio::time::sleep(cfg.connect_timeout).await;
@@ -126,13 +126,14 @@
         let reply = timeout(cfg.connect_timeout, framed.next())
             .await
             .map_err(|_| fail("no greeting".into()))?;
-        check_hello(reply).map_err(fail)?;
-        Ok(Self::start(framed, cfg, cx.child_token()))
+        let peer = check_hello(reply).map_err(fail)?;
+        Ok(Self::start(framed, cfg, peer.reads_packed, cx.child_token()))
     }
 
     fn start(
         framed: Framed<TcpStream, EnvelopeCodec>,
         cfg: &LinkConfig,
+        peer_reads_packed: bool,
         cx: CancellationToken,
     ) -> Self {
         let (stream, write) = split(framed);
@@ -141,7 +142,7 @@
         let codec = EnvelopeCodec::new(cfg.max_frame);
         tokio::spawn(write_frames(write, codec, rx, cfg.keepalive_interval, cx.clone()));
         tokio::spawn(read_replies(stream, Arc::clone(&calls), cfg.idle_timeout, cx.clone()));
-        Self { tx, calls, next_id: Arc::new(AtomicU64::new(1)), cx }
+        Self { tx, calls, next_id: Arc::new(AtomicU64::new(1)), peer_reads_packed, cx }
     }
 
     /// Whether the connection was lost or closed.
@@ -149,6 +150,11 @@
         self.cx.is_cancelled()
     }
 
+    /// Whether the peer reads packed announcements; false for earlier builds.
+    pub fn peer_reads_packed(&self) -> bool {
+        self.peer_reads_packed
+    }
+
     /// Waits until the connection is lost or closed.
     pub async fn closed(&self) {
         self.cx.cancelled().await;
@@ -235,15 +241,25 @@
     }
 }
 
-/// Checks the peer's part of the handshake.
-fn check_hello(reply: Option<Result<Envelope, FrameError>>) -> Result<(), String> {
+/// This side's part of the handshake.
+pub(super) fn build_hello(cfg: &LinkConfig) -> Hello {
+    Hello {
+        version: PROTOCOL_VERSION,
+        node: cfg.node.clone(),
+        role: cfg.role.clone(),
+        reads_packed: true,
+    }
+}
+
+/// Checks the peer's part of the handshake and returns it.
+fn check_hello(reply: Option<Result<Envelope, FrameError>>) -> Result<Hello, String> {
     let body = match reply {
         None => return Err("closed before its greeting".into()),
         Some(Err(e)) => return Err(e.to_string()),
         Some(Ok(envelope)) => envelope.body,
     };
     match body {
-        Some(Body::Hello(h)) if h.version == PROTOCOL_VERSION => Ok(()),
+        Some(Body::Hello(h)) if h.version == PROTOCOL_VERSION => Ok(h),
         Some(Body::Hello(h)) => Err(format!(
             "speaks protocol version {}, this is version {PROTOCOL_VERSION}; upgrade the older",
             h.version
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -14,7 +14,7 @@
 
 use super::envelope::Body;
 use super::frame::{EnvelopeCodec, PROTOCOL_VERSION};
-use super::link::{LinkConfig, is_blocked, next_frame, split, write_frames};
+use super::link::{LinkConfig, build_hello, is_blocked, next_frame, split, write_frames};
 use super::{Envelope, Fault, Hello};
 use crate::event;
 
@@ -166,8 +166,7 @@
             hello.version
         ));
     }
-    let own = Hello { version: PROTOCOL_VERSION, node: cfg.node.clone(), role: cfg.role.clone() };
-    let reply = Envelope { call: 0, body: Some(Body::Hello(own)) };
+    let reply = Envelope { call: 0, body: Some(Body::Hello(build_hello(cfg))) };
     framed.send(reply).await.map_err(|e| e.to_string())?;
     Ok(hello)
 }
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -7,6 +7,7 @@
 use bitternlead::control::bootstrap::BootstrapService;
 use bitternlead::control::core_config::Published;
 use bitternlead::control::hub::{Hub, HubHandler};
+use bitternlead::control::packing::unpack_update;
 use bitternlead::control::service::build_link_config;
 use bitternlead::events::discarding_logger;
 use bitternlead::wire::envelope::Body;
@@ -56,11 +57,14 @@
     }
 
     async fn subscribe(&self, number: u16) -> (Link, Call) {
+        let load_address = load_address(number);
+        self.subscribe_with(number, Subscribe { load_address, ..Subscribe::default() }).await
+    }
+
+    async fn subscribe_with(&self, number: u16, subscribe: Subscribe) -> (Link, Call) {
         let link = build_link_config(&format!("entry-{number}"), "entry");
         let link = Link::connect(self.addr, &link, &self.cx).await.unwrap();
         let call = link.open();
-        let load_address = load_address(number);
-        let subscribe = Subscribe { load_address, ..Subscribe::default() };
         call.send(Body::Subscribe(subscribe)).await.unwrap();
         (link, call)
     }
@@ -146,3 +150,46 @@
     }
     assert!(updates <= 40, "{updates} lists for {ENTRIES} entries");
 }
+
+/// The compressed list is kept for later subscribers. One that misses the changes since then would
+/// route to endpoints that have left.
+#[tokio::test]
+async fn a_list_that_was_built_earlier_comes_with_the_changes_since() {
+    const ENDPOINTS: usize = 1_000;
+    let replica = Replica::start().await;
+    for n in 0..ENDPOINTS {
+        replica.hub.announce(announcement(n, 1, Standing::Ready));
+    }
+    let packed = Subscribe { reads_packed: true, ..Subscribe::default() };
+    let (_first_link, mut first) = replica.subscribe_with(1, packed.clone()).await;
+    let list = next_update(&mut first).await.unwrap();
+    assert!(list.full && list.unpacked_len > 0 && list.announcements.is_empty());
+    replica.hub.announce(announcement(8, 2, Standing::Draining));
+    replica.hub.announce(announcement(ENDPOINTS, 1, Standing::Ready));
+    let (_second_link, mut second) = replica.subscribe_with(2, packed).await;
+    let update = next_update(&mut second).await.unwrap();
+    assert!(update.full && update.announcements.len() == 2, "the list was built anew");
+    let update = unpack_update(update).unwrap();
+    assert!(update.full);
+    let standings = update.announcements.into_iter().map(|a| (a.id.clone(), a.standing()));
+    let standings: std::collections::HashMap<String, Standing> = standings.collect();
+    assert_eq!(standings.len(), ENDPOINTS + 1);
+    assert_eq!(standings["i-8"], Standing::Draining);
+}
+
+/// Control processes without a disk need only the replicas. Endpoints and load addresses for them
+/// would double the traffic where each host runs one.
+#[tokio::test]
+async fn a_subscriber_that_needs_only_replicas_gets_no_endpoints() {
+    let replica = Replica::start().await;
+    replica.hub.announce(announcement(1, 1, Standing::Ready));
+    let subscribe = Subscribe { replicas_only: true, ..Subscribe::default() };
+    let (_link, mut call) = replica.subscribe_with(1, subscribe).await;
+    assert_eq!(next_update(&mut call).await, Some(News::default()));
+    let (_other_link, mut other) = replica.subscribe(2).await;
+    next_update(&mut other).await.unwrap();
+    replica.hub.announce(announcement(2, 1, Standing::Ready));
+    while next_update(&mut other).await.unwrap().announcements.is_empty() {}
+    let update = timeout(Duration::from_millis(200), call.next()).await;
+    assert!(update.is_err(), "{update:?}");
+}
