Move the subscribers of a control replica into their own module

It keeps the endpoint directory and the subscriptions; the state of a subscriber, updates for several of them and the compressed list of endpoints are in hub_subscribers.rs. No change of behaviour; hub, control_start, relay and restart tests pass.

--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -13,7 +13,8 @@
 
 use super::bootstrap::BootstrapService;
 use super::core_config::Published;
-use super::packing::{pack_update, unpack_announcements};
+use super::hub_subscribers::{Broadcast, EndpointList, Subscriber, load_addresses};
+use super::packing::unpack_announcements;
 use super::recent_documents::RecentDocuments;
 use crate::clock::boot_now;
 use crate::directory::Directory;
@@ -52,116 +53,10 @@
 /// wait for one part, not for the document.
 const DOCUMENT_PART_BYTES: usize = 32 * 1024;
 
-/// Time for which the list of all endpoints is sent to new subscribers, with the later changes,
-/// before it is built anew: compressing it takes longer than sending it.
-const LIST_VALIDITY: Duration = Duration::from_secs(1);
-
-/// The same for a list with cold endpoints, whose remaining cold times do not advance in the list.
-const COLD_LIST_VALIDITY: Duration = Duration::from_millis(50);
-
-/// Number of listed endpoints for each change after which the list is built anew.
-const MIN_ENDPOINTS_PER_CHANGE: usize = 8;
-
 /// Fraction of the silence timeout within which an endpoint known from an earlier run has to
 /// announce itself.
 const RESTORED_SILENCE_SHARE: f64 = 0.6;
 
-struct Subscriber {
-    /// Empty if the subscriber does not receive the load of other subscribers.
-    load_address: String,
-    /// Version of the newest document that was sent or offered to the subscriber, or that it
-    /// already held.
-    document_version: u64,
-    /// Revision of the drained zones that were sent to the subscriber; `None` before the first ones.
-    drains_revision: Option<u64>,
-    /// Whether the subscriber fetches documents when their version is offered.
-    fetches_documents: bool,
-    reads_packed: bool,
-    /// Whether the subscriber needs neither endpoints nor load addresses.
-    replicas_only: bool,
-    tx: mpsc::Sender<News>,
-    cx: CancellationToken,
-}
-
-impl Subscriber {
-    /// Queues an update; disconnects the subscriber if its queue is full.
-    fn send(&self, update: News) {
-        if self.tx.try_send(update).is_err() {
-            self.cx.cancel();
-        }
-    }
-
-    /// Builds the part of an update that concerns the replicated state: the drained zones, and the
-    /// document or the offer of it, where the subscriber does not know them yet.
-    ///
-    /// It is empty while this replica knows no leader, or less than its leader has committed. So a
-    /// subscriber knows the drains that were acknowledged when it gets its first document.
-    fn state_update(&mut self, state: &Published) -> News {
-        if !state.has_leader || state.lags {
-            return News::default();
-        }
-        let mut update = News::default();
-        if self.drains_revision.is_none_or(|sent| sent < state.zone_drains.revision) {
-            self.drains_revision = Some(state.zone_drains.revision);
-            update.zone_drains = Some(state.zone_drains.clone());
-        }
-        let version = state.document.version;
-        if version <= self.document_version {
-            return update;
-        }
-        self.document_version = version;
-        if self.fetches_documents {
-            return News { offered_version: version, ..update };
-        }
-        News { document: Some(state.document.clone()), ..update }
-    }
-}
-
-/// An update for several subscribers, compressed once for all that read that.
-struct Broadcast {
-    plain: News,
-    packed: Option<News>,
-}
-
-impl Broadcast {
-    fn new(plain: News) -> Self {
-        let packed = pack_update(&plain);
-        Self { plain, packed }
-    }
-
-    fn send_to(&self, subscriber: &Subscriber) {
-        if subscriber.replicas_only {
-            return;
-        }
-        let packed = self.packed.as_ref().filter(|_| subscriber.reads_packed);
-        subscriber.send(packed.unwrap_or(&self.plain).clone());
-    }
-}
-
-/// The compressed list of all endpoints for new subscribers.
-struct EndpointList {
-    packed: News,
-    endpoints: usize,
-    valid_until: Moment,
-    /// Endpoints that changed after the list was built.
-    changed: HashMap<String, Announcement>,
-}
-
-impl EndpointList {
-    /// Builds the list; `None` if it is too short to be compressed.
-    fn build(now: Moment, announcements: Vec<Announcement>) -> Option<Self> {
-        let is_cold = announcements.iter().any(|a| a.cold_ms > 0);
-        let validity = if is_cold { COLD_LIST_VALIDITY } else { LIST_VALIDITY };
-        let endpoints = announcements.len();
-        let packed = pack_update(&News { announcements, full: true, ..News::default() })?;
-        Some(Self { packed, endpoints, valid_until: now + validity, changed: HashMap::new() })
-    }
-
-    fn is_valid(&self, now: Moment) -> bool {
-        now < self.valid_until && self.changed.len() * MIN_ENDPOINTS_PER_CHANGE <= self.endpoints
-    }
-}
-
 #[derive(Default)]
 struct Inner {
     directory: Directory,
@@ -475,12 +370,6 @@
     }
 }
 
-/// Addresses at which these subscribers receive the load of others.
-fn load_addresses<'a>(subscribers: impl Iterator<Item = &'a Subscriber>) -> Vec<String> {
-    let addresses = subscribers.map(|s| s.load_address.clone());
-    addresses.filter(|address| !address.is_empty()).collect()
-}
-
 /// Sends the load addresses of all subscribers to each of them.
 fn publish_load_addresses(inner: &Inner) {
     let load_addresses = load_addresses(inner.subscribers.values());
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,6 +12,7 @@
 pub mod endpoint_file;
 mod hint_file;
 pub mod hub;
+mod hub_subscribers;
 pub mod joining;
 pub mod log_file;
 pub mod node_registry;
