--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -13,11 +13,14 @@
 
 use super::bootstrap::BootstrapService;
 use super::core_config::Published;
+use super::hub_subscribers::{Broadcast, EndpointList, Subscriber, load_addresses};
+use super::packing::unpack_announcements;
 use super::recent_documents::RecentDocuments;
 use crate::clock::boot_now;
 use crate::directory::Directory;
 use crate::document::UnpackError;
 use crate::event;
+use crate::ids::Moment;
 use crate::quarantine::Quarantine;
 use crate::wire::envelope::Body;
 use crate::wire::server::{Conn, Handler};
@@ -54,54 +57,6 @@
 /// announce itself.
 const RESTORED_SILENCE_SHARE: f64 = 0.6;
 
-struct Subscriber {
-    /// Empty if the subscriber does not receive the load of other subscribers.
-    load_address: String,
-    /// Version of the newest document that was sent or offered to the subscriber, or that it
-    /// already held.
-    document_version: u64,
-    /// Revision of the drained zones that were sent to the subscriber; `None` before the first ones.
-    drains_revision: Option<u64>,
-    /// Whether the subscriber fetches documents when their version is offered.
-    fetches_documents: bool,
-    tx: mpsc::Sender<News>,
-    cx: CancellationToken,
-}
-
-impl Subscriber {
-    /// Queues an update; disconnects the subscriber if its queue is full.
-    fn send(&self, update: News) {
-        if self.tx.try_send(update).is_err() {
-            self.cx.cancel();
-        }
-    }
-
-    /// Builds the part of an update that concerns the replicated state: the drained zones, and the
-    /// document or the offer of it, where the subscriber does not know them yet.
-    ///
-    /// It is empty while this replica knows no leader, or less than its leader has committed. So a
-    /// subscriber knows the drains that were acknowledged when it gets its first document.
-    fn state_update(&mut self, state: &Published) -> News {
-        if !state.has_leader || state.lags {
-            return News::default();
-        }
-        let mut update = News::default();
-        if self.drains_revision.is_none_or(|sent| sent < state.zone_drains.revision) {
-            self.drains_revision = Some(state.zone_drains.revision);
-            update.zone_drains = Some(state.zone_drains.clone());
-        }
-        let version = state.document.version;
-        if version <= self.document_version {
-            return update;
-        }
-        self.document_version = version;
-        if self.fetches_documents {
-            return News { offered_version: version, ..update };
-        }
-        News { document: Some(state.document.clone()), ..update }
-    }
-}
-
 #[derive(Default)]
 struct Inner {
     directory: Directory,
@@ -110,6 +65,27 @@
     recent: RecentDocuments,
     /// Endpoints that changed and were not sent to subscribers yet.
     changed_endpoints: HashMap<String, Announcement>,
+    endpoint_list: Option<EndpointList>,
+}
+
+impl Inner {
+    /// The part of a first update that lists all endpoints.
+    fn list_endpoints(&mut self, now: Moment, reads_packed: bool) -> News {
+        if !reads_packed {
+            let announcements = self.directory.announcements(now);
+            return News { announcements, full: true, ..News::default() };
+        }
+        if self.endpoint_list.as_ref().is_none_or(|list| !list.is_valid(now)) {
+            self.endpoint_list = EndpointList::build(now, self.directory.announcements(now));
+        }
+        match &self.endpoint_list {
+            Some(list) => {
+                let announcements = list.changed.values().cloned().collect();
+                News { announcements, full: true, ..list.packed.clone() }
+            }
+            None => self.list_endpoints(now, false),
+        }
+    }
 }
 
 /// Endpoint directory and subscribers of one control replica.
@@ -183,9 +159,8 @@
             return;
         }
         self.quarantine_changed.notify_one();
-        for subscriber in inner.subscribers.values() {
-            subscriber.send(News { quarantine: Some(report.clone()), ..News::default() });
-        }
+        let update = Broadcast::new(News { quarantine: Some(report), ..News::default() });
+        inner.subscribers.values().for_each(|subscriber| update.send_to(subscriber));
     }
 
     /// Applies an announcement that an endpoint sent to this replica and relays it.
@@ -231,7 +206,13 @@
         }
         self.endpoints_changed.notify_one();
         let changed = announcements.into_iter().map(|a| (a.id.clone(), a));
-        self.inner.lock().changed_endpoints.extend(changed);
+        let changed: HashMap<String, Announcement> = changed.collect();
+        let mut inner = self.inner.lock();
+        if let Some(list) = &mut inner.endpoint_list {
+            list.changed.extend(changed.clone());
+        }
+        inner.changed_endpoints.extend(changed);
+        drop(inner);
         self.endpoints_to_send.notify_one();
     }
 
@@ -244,12 +225,22 @@
                 () = self.endpoints_to_send.notified() => {}
             }
             sleep(ENDPOINTS_DELAY).await;
-            let mut inner = self.inner.lock();
-            let changed = std::mem::take(&mut inner.changed_endpoints);
-            let changed: Vec<Announcement> = changed.into_values().collect();
-            for subscriber in inner.subscribers.values() {
-                subscriber.send(News { announcements: changed.clone(), ..News::default() });
+            // Those that subscribe after this get the changes with their first update, and may get
+            // newer ones before this update is compressed.
+            let (changed, receivers) = {
+                let mut inner = self.inner.lock();
+                let changed = std::mem::take(&mut inner.changed_endpoints);
+                let receivers: Vec<u64> = inner.subscribers.keys().copied().collect();
+                (changed, receivers)
+            };
+            if changed.is_empty() {
+                continue;
             }
+            let announcements = changed.into_values().collect();
+            let update = Broadcast::new(News { announcements, ..News::default() });
+            let inner = self.inner.lock();
+            let receivers = receivers.iter().filter_map(|id| inner.subscribers.get(id));
+            receivers.for_each(|subscriber| update.send_to(subscriber));
         }
     }
 
@@ -283,20 +274,29 @@
             document_version: subscribe.document_version,
             drains_revision: None,
             fetches_documents: subscribe.fetches_documents,
+            reads_packed: subscribe.reads_packed,
+            replicas_only: subscribe.replicas_only,
             tx,
             cx: conn.cx.clone(),
         };
-        let load_addresses = load_addresses(inner.subscribers.values().chain([&subscriber]));
-        let initial = News {
-            load_addresses,
-            load_addresses_changed: true,
-            announcements: inner.directory.announcements(boot_now()),
-            full: true,
-            quarantine: Some(inner.quarantine.report_all(boot_now())),
-            replicas: published.replicas.clone(),
-            ..subscriber.state_update(&published)
-        };
-        subscriber.send(initial);
+        let replicas = published.replicas.clone();
+        let state = News { replicas, ..subscriber.state_update(&published) };
+        if subscriber.replicas_only {
+            subscriber.send(state);
+        } else {
+            let endpoints = inner.list_endpoints(boot_now(), subscriber.reads_packed);
+            let subscribers = inner.subscribers.values().chain([&subscriber]);
+            subscriber.send(News {
+                load_addresses: load_addresses(subscribers),
+                load_addresses_changed: true,
+                announcements: endpoints.announcements,
+                full: endpoints.full,
+                packed: endpoints.packed,
+                unpacked_len: endpoints.unpacked_len,
+                quarantine: Some(inner.quarantine.report_all(boot_now())),
+                ..state
+            });
+        }
         inner.subscribers.insert(conn.id, subscriber);
         drop(inner);
         self.load_addresses_changed.notify_one();
@@ -370,22 +370,12 @@
     }
 }
 
-/// Addresses at which these subscribers receive the load of others.
-fn load_addresses<'a>(subscribers: impl Iterator<Item = &'a Subscriber>) -> Vec<String> {
-    let addresses = subscribers.map(|s| s.load_address.clone());
-    addresses.filter(|address| !address.is_empty()).collect()
-}
-
 /// Sends the load addresses of all subscribers to each of them.
 fn publish_load_addresses(inner: &Inner) {
-    let addresses = load_addresses(inner.subscribers.values());
-    for subscriber in inner.subscribers.values() {
-        subscriber.send(News {
-            load_addresses: addresses.clone(),
-            load_addresses_changed: true,
-            ..News::default()
-        });
-    }
+    let load_addresses = load_addresses(inner.subscribers.values());
+    let update =
+        Broadcast::new(News { load_addresses, load_addresses_changed: true, ..News::default() });
+    inner.subscribers.values().for_each(|subscriber| update.send_to(subscriber));
 }
 
 /// Builds the reply to a fetch: a part of the document, or the whole of it for processes that ask
@@ -434,6 +424,11 @@
             Body::FetchDocument(fetch) => self.hub.send_document(conn, call, fetch),
             Body::QuarantineReport(report) => self.hub.apply_quarantine_report(report),
             Body::Announcement(announcement) => self.hub.apply_announcement(announcement),
+            Body::PackedAnnouncements(packed) => {
+                // Damaged announcements are repeated by their endpoints.
+                let announcements = unpack_announcements(&packed).unwrap_or_default();
+                announcements.into_iter().for_each(|a| self.hub.apply_announcement(a));
+            }
             Body::RollCall(report) => self.bootstrap.handle_report(conn, call, report),
             other => self.fallback.on_message(conn, call, other),
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control role: a replicated log and the state that it holds, which is the configuration, the
 //! membership of replicas, orders to endpoints and claims of non-idempotent calls.
 
+pub mod announcement_relay;
 pub mod bootstrap;
 pub mod burn_counts;
 pub mod claims;
@@ -11,11 +12,13 @@
 pub mod endpoint_file;
 mod hint_file;
 pub mod hub;
+mod hub_subscribers;
 pub mod joining;
 pub mod log_file;
 pub mod node_registry;
 pub mod operators;
 pub mod orders;
+pub mod packing;
 pub mod peers;
 pub mod placement;
 pub mod quarantine_file;
