Take back the decisions on bursts, and keep their trials

With half of the slots left free by late prompts, in_a_burst_beyond_all_slots_few_callers_leave_without_an_answer fails: more callers are refused than it allows.

--- a/src/gateway/placement/admission.rs
+++ b/src/gateway/placement/admission.rs
@@ -24,9 +24,8 @@
 /// Maximum wait of a late short request, in milliseconds. Callers leave after 2 s without an event.
 const MAX_LATE_WAIT_MS: f64 = 1400.0;
 
-/// Fraction of its engine's slots that a late short request leaves free. It holds its slot as long as
-/// one in time and is worth a quarter; with two slots left free, late ones made others late.
-const SPARE_SLOT_SHARE: f64 = 0.5;
+/// Number of slots that a late short request leaves free at its engine.
+const SPARE_SLOTS: usize = 2;
 
 /// Retry delay suggested for a late short request that found no slot, in milliseconds.
 const LATE_RETRY_AFTER_MS: f64 = 2500.0;
@@ -104,7 +103,7 @@
         let cause = RefusalCause::NoSpareSlot;
         return Admission::Refuse { retry_after_ms: LATE_RETRY_AFTER_MS, cause };
     }
-    if (engine.request_count as f64) < usable_slots * (1.0 - SPARE_SLOT_SHARE) {
+    if ((engine.request_count + SPARE_SLOTS) as f64) < usable_slots {
         return Admission::Place;
     }
     let has_time = req.remaining_ms > 2.0 * WAIT_INTERVAL_MS;
--- a/src/gateway/placement/decision.rs
+++ b/src/gateway/placement/decision.rs
@@ -64,12 +64,6 @@
         }
     }
 
-    /// Seed of the sample of engines for this attempt; a request that waited looks at others.
-    fn sample_seed(&self) -> u64 {
-        let round = (self.waited_ms / WAIT_INTERVAL_MS).round() as u64;
-        self.request_hash.wrapping_add(round << 40)
-    }
-
     pub(super) fn required_tokens(&self) -> u64 {
         self.prompt_tokens + self.output_tokens
     }
@@ -251,8 +245,7 @@
     let short_engines =
         if policy.short_engines { short_engines_among(model, engines) } else { count };
     let is_short = model.prefill_ms(req.prompt_tokens) <= SAFE_PREFILL_MS * short_engines as f64;
-    let groups = Groups { short_engines, is_short, samples_only: order.is_none() };
-    let Some(plan) = choose_plan(policy, model, engines, req, groups) else {
+    let Some(plan) = choose_plan(policy, model, engines, req, short_engines, is_short) else {
         return Decision::TooLarge;
     };
     if plan.first_token_ms > req.remaining_ms * MAX_REMAINING_TIME_FRACTION {
@@ -283,35 +276,21 @@
     }
 }
 
-/// Engines that the search for a plan may look at.
-struct Groups {
-    /// Number of engines, from the first on, for short prompts.
-    short_engines: usize,
-    /// Whether the prompt is short.
-    is_short: bool,
-    /// Whether a short prompt looks at samples only. In an order one request is tried at a time, so
-    /// that it looks at all engines.
-    samples_only: bool,
-}
-
 /// Finds the cheapest plan on the first of these groups of engines on which the prompt is in time:
 /// a sample of the engines for prompts of this length, a sample of all, all engines for prompts of
 /// this length, all engines.
-///
-/// A short prompt without a place in an order looks at the samples only while its caller has time.
-/// When most engines are full, requests that look at all of them meet at the few free slots.
 fn choose_plan(
     policy: &Policy,
     model: &EngineModel,
     engines: &(impl EngineSource + ?Sized),
     req: &PlacementRequest,
-    groups: Groups,
+    short_engines: usize,
+    is_short: bool,
 ) -> Option<Plan> {
-    let Groups { short_engines, is_short, samples_only } = groups;
     let is_safe = |plan: &Plan| plan.first_token_ms <= req.objective_ms * SAFE_OBJECTIVE_SHARE;
     if policy.engine_samples && is_short && !is_worth_splitting(model, req.prompt_tokens) {
         let best_of_sample = |count: usize| {
-            let sample = sample_engines(engines, count, req.sample_seed());
+            let sample = sample_engines(engines, count, req.request_hash);
             let states: Vec<EngineState> = sample.iter().map(|i| engines.state(*i)).collect();
             let search = PlanSearch { policy, model, engines: &states, req };
             let (_, plan) = search.best_plan(&(0..states.len()).collect::<Vec<usize>>())?;
@@ -321,13 +300,8 @@
         if let Some(plan) = best_of_sample(short_engines).filter(is_safe) {
             return Some(plan);
         }
-        let latest_ms = if samples_only {
-            req.remaining_ms * MAX_REMAINING_TIME_FRACTION
-        } else {
-            req.objective_ms
-        };
-        let is_soon = |plan: &Plan| plan.first_token_ms <= latest_ms;
-        if let Some(plan) = best_of_sample(engines.count()).filter(is_soon) {
+        let is_in_time = |plan: &Plan| plan.first_token_ms <= req.objective_ms;
+        if let Some(plan) = best_of_sample(engines.count()).filter(is_in_time) {
             return Some(plan);
         }
     }
--- a/src/gateway/placement/engine_state.rs
+++ b/src/gateway/placement/engine_state.rs
@@ -23,14 +23,8 @@
 /// none to all, because later prefills lengthen it.
 const PAUSE_LOSS_RANGE: (f64, f64) = (0.6, 1.0);
 
-/// Expected wait for a slot of a full engine, in milliseconds for each request queued ahead. At 150 ms,
-/// half of the late short prompts of a burst were planned in time at engines known to be full while
-/// others had free slots.
-const SLOT_WAIT_MS: f64 = 300.0;
-
-/// Expected wait for one of the last free slots, in milliseconds for each request not known here that
-/// may take it first.
-const CONTENDED_SLOT_WAIT_MS: f64 = 75.0;
+/// Expected wait for a slot of a full engine, in milliseconds for each request queued ahead.
+const SLOT_WAIT_MS: f64 = 150.0;
 
 /// Requests of other entries that may be on their way to an engine and are not known here yet.
 const UNSEEN_REQUESTS: usize = 2;
@@ -264,7 +258,7 @@
         let free_slots = (model.slots as usize).saturating_sub(self.urgent_count);
         if free_slots > 0 {
             let contended = (UNSEEN_REQUESTS + 1).saturating_sub(free_slots);
-            return contended as f64 * CONTENDED_SLOT_WAIT_MS;
+            return contended as f64 * SLOT_WAIT_MS / 2.0;
         }
         let queued_ahead = self.urgent_count + 1 - model.slots as usize;
         queued_ahead as f64 * SLOT_WAIT_MS
