Mend what a newcomer stumbles on in this work

Comments of the election timeout contradicted its bound; record_send handled two outcomes twice; parts of a checked document were called entries, as are the processes that accept requests; test modes and checks had private names; addresses of control were described in two ways.

--- a/examples/heavy.rs
+++ b/examples/heavy.rs
@@ -81,8 +81,8 @@
     }
 }
 
-/// Prints, for each span of the load, what was so when its short prompts were placed: those that were
-/// in time, those that were late although their plan was in time, and those placed as late.
+/// Prints, for each phase, the state of the engines when its short prompts were placed, for those that
+/// were in time, those that were late although their plan was in time, and those placed as late.
 fn print_placements(preset: &Preset, outcomes: &[Outcome]) {
     let mut start_ms = 0.0;
     for span in &preset.phases {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -373,7 +373,7 @@
     /// file with the document in force, to show the differences from it
     #[argh(option)]
     pub against: Option<String>,
-    /// addresses of control, IP:PORT,..., to show the differences from the document in force there
+    /// addresses of control, HOST:PORT,..., to show the differences from the document in force there
     #[argh(option)]
     pub in_force: Option<String>,
     /// region of every availability zone, ZONE=REGION,..., to find regions that no zone has
--- a/src/config_check/differences.rs
+++ b/src/config_check/differences.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::hash::Hash;
 
-use super::model::{ConfigDocument, Field, RouteEntry, ServiceEntry, WorkspaceEntry, WorkspaceKey};
+use super::model::{ConfigDocument, Field, RouteSpec, ServiceSpec, WorkspaceKey, WorkspaceSpec};
 use super::report::printable;
 use super::values::{Values, document_values, route_values, service_values, workspace_values};
 
@@ -33,7 +33,7 @@
     }
 }
 
-/// One line for each entry that differs, and a summary.
+/// One line for each route, service and workspace that differs, and a summary.
 impl fmt::Display for Differences {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for line in &self.lines {
@@ -84,15 +84,15 @@
     if !changes.is_empty() {
         differences.lines.push(format!("document: {}", changes.join(", ")));
     }
-    let id = |r: &RouteEntry| (r.host.to_ascii_lowercase(), r.prefix.clone());
+    let id = |r: &RouteSpec| (r.host.to_ascii_lowercase(), r.prefix.clone());
     for (old, new) in pair(&old.routes, &new.routes, id) {
-        let title = |r: &RouteEntry| format!("route {}{}", r.host.to_ascii_lowercase(), r.prefix);
+        let title = |r: &RouteSpec| format!("route {}{}", r.host.to_ascii_lowercase(), r.prefix);
         let changes = changes_of(name, old, new, route_values);
         let line = differences.routes.describe(old, new, title, changes);
         differences.lines.extend(line);
     }
     for (old, new) in pair(&old.services, &new.services, |s| s.name.clone()) {
-        let title = |s: &ServiceEntry| format!("service {}", s.name);
+        let title = |s: &ServiceSpec| format!("service {}", s.name);
         let changes = changes_of(name, old, new, service_values);
         let line = differences.services.describe(old, new, title, changes);
         differences.lines.extend(line);
@@ -116,7 +116,7 @@
             if revoked + issued > 0 {
                 changes.push(format!("keys {revoked} revoked, {issued} issued"));
             }
-            let title = |w: &WorkspaceEntry| format!("workspace {}", w.name);
+            let title = |w: &WorkspaceSpec| format!("workspace {}", w.name);
             let line = self.workspaces.describe(old, new, title, changes);
             self.lines.extend(line);
         }
@@ -151,7 +151,7 @@
     }
 }
 
-fn distinct_keys(workspace: Option<&WorkspaceEntry>) -> BTreeSet<&WorkspaceKey> {
+fn distinct_keys(workspace: Option<&WorkspaceSpec>) -> BTreeSet<&WorkspaceKey> {
     workspace.into_iter().flat_map(|w| &w.keys).collect()
 }
 
--- a/src/config_check/mod.rs
+++ b/src/config_check/mod.rs
@@ -29,11 +29,11 @@
 /// Adds to the report what is wrong with a document that could be read.
 ///
 /// ```
-/// use bitternlead::config_check::model::{ConfigDocument, Field, ServiceEntry};
+/// use bitternlead::config_check::model::{ConfigDocument, Field, ServiceSpec};
 /// use bitternlead::config_check::{Scope, check, report::Report};
 /// use bitternlead::findings::Place;
 ///
-/// let service = ServiceEntry {
+/// let service = ServiceSpec {
 ///     place: Place::Whole("services[0]".into()),
 ///     name: "engines".into(),
 ///     max_connections: 64,
--- a/src/config_check/model.rs
+++ b/src/config_check/model.rs
@@ -56,20 +56,20 @@
     /// Of several documents the one with the highest version is in force.
     pub version: Version,
     /// Routes in the order of the document.
-    pub routes: Vec<RouteEntry>,
+    pub routes: Vec<RouteSpec>,
     /// Services in the order of the document.
-    pub services: Vec<ServiceEntry>,
+    pub services: Vec<ServiceSpec>,
     /// Limits on requests of callers; `None` for the defaults.
-    pub limits: Option<LimitsEntry>,
+    pub limits: Option<LimitsSpec>,
     /// Workspaces; `None` if callers need no key.
-    pub workspaces: Option<Vec<WorkspaceEntry>>,
+    pub workspaces: Option<Vec<WorkspaceSpec>>,
     /// Names of the fields in the document.
     pub field_name: fn(Field) -> &'static str,
 }
 
 /// A route.
 #[derive(Clone, Debug)]
-pub struct RouteEntry {
+pub struct RouteSpec {
     /// Where it stands in the document.
     pub place: Place,
     /// Name used in log events.
@@ -108,7 +108,7 @@
 
 /// A service.
 #[derive(Clone, Debug)]
-pub struct ServiceEntry {
+pub struct ServiceSpec {
     /// Where it stands in the document.
     pub place: Place,
     /// Name that routes refer to.
@@ -116,7 +116,7 @@
     /// Connections that an endpoint accepts.
     pub max_connections: u32,
     /// Performance model of its engines.
-    pub engine: Option<EngineEntry>,
+    pub engine: Option<EngineSpec>,
     /// Seconds for which an endpoint is cold after a start.
     pub cold_s: Option<f64>,
     /// Requests per second that a cold endpoint can handle.
@@ -125,7 +125,7 @@
 
 /// Performance model of an engine.
 #[derive(Clone, Debug)]
-pub struct EngineEntry {
+pub struct EngineSpec {
     /// Requests that run at once.
     pub slots: u32,
     /// KV memory in tokens.
@@ -145,14 +145,14 @@
     /// Prompt tokens that are prefilled in a step.
     pub chunk_tokens: Option<u32>,
     /// Milliseconds that helpers add to a step.
-    pub hop_ms: Option<f64>,
+    pub helper_step_ms: Option<f64>,
     /// Mean number of tokens that a request generates.
     pub mean_output_tokens: Option<u32>,
 }
 
 /// Limits on requests of callers.
 #[derive(Clone, Copy, Debug)]
-pub struct LimitsEntry {
+pub struct LimitsSpec {
     /// Maximum size of a request head in bytes.
     pub header_bytes: usize,
     /// Maximum size of a request body in bytes.
@@ -165,7 +165,7 @@
 
 /// A workspace.
 #[derive(Clone, Debug)]
-pub struct WorkspaceEntry {
+pub struct WorkspaceSpec {
     /// Where it stands in the document.
     pub place: Place,
     /// Name of the workspace.
--- a/src/config_check/route_rules.rs
+++ b/src/config_check/route_rules.rs
@@ -1,6 +1,6 @@
 //! Checks of single routes.
 
-use super::model::{ConfigDocument, Field, RouteEntry};
+use super::model::{ConfigDocument, Field, RouteSpec};
 use crate::findings::Findings;
 
 pub(super) fn check(document: &ConfigDocument, warnings: &mut Findings) {
@@ -16,7 +16,7 @@
 
 /// Hosts are compared without case and without the port of the request, so that upper case is
 /// reachable and a port is not.
-fn check_host(route: &RouteEntry, name: FieldName, warnings: &mut Findings) {
+fn check_host(route: &RouteSpec, name: FieldName, warnings: &mut Findings) {
     let host = name(Field::Host);
     let is_impossible = |c: char| c.is_whitespace() || c.is_control() || c == '/' || !c.is_ascii();
     if route.host.contains(is_impossible) {
@@ -36,7 +36,7 @@
     }
 }
 
-fn check_prefix(route: &RouteEntry, name: FieldName, warnings: &mut Findings) {
+fn check_prefix(route: &RouteSpec, name: FieldName, warnings: &mut Findings) {
     let field = name(Field::Prefix);
     let prefix = route.prefix.as_str();
     if prefix.contains(|c: char| c.is_whitespace() || c.is_control() || c == '?' || c == '#') {
@@ -55,7 +55,7 @@
     }
 }
 
-fn check_targets(route: &RouteEntry, name: FieldName, warnings: &mut Findings) {
+fn check_targets(route: &RouteSpec, name: FieldName, warnings: &mut Findings) {
     let targets = name(Field::Targets);
     // If all weights are 0, control rejects the route, which is an error already.
     if route.targets.iter().any(|(_, weight)| *weight > 0) {
@@ -76,7 +76,7 @@
     }
 }
 
-fn check_times(route: &RouteEntry, name: FieldName, warnings: &mut Findings) {
+fn check_times(route: &RouteSpec, name: FieldName, warnings: &mut Findings) {
     let timeout = name(Field::Timeout);
     let limits = [
         (Field::Objective, route.objective_ms.unwrap_or(0)),
--- a/src/config_check/service_rules.rs
+++ b/src/config_check/service_rules.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use super::model::{ConfigDocument, EngineEntry, Field, ServiceEntry};
+use super::model::{ConfigDocument, EngineSpec, Field, ServiceSpec};
 use crate::findings::{Findings, Place};
 
 type FieldName = fn(Field) -> &'static str;
@@ -47,7 +47,7 @@
     }
 }
 
-fn check_cold(service: &ServiceEntry, name: FieldName, warnings: &mut Findings) {
+fn check_cold(service: &ServiceSpec, name: FieldName, warnings: &mut Findings) {
     let fields = [(Field::ColdDuration, service.cold_s), (Field::ColdRate, service.cold_per_s)];
     for (field, value) in fields {
         warn_if_negative(service, name(field), value, warnings);
@@ -63,8 +63,8 @@
 }
 
 fn check_engine(
-    service: &ServiceEntry,
-    engine: &EngineEntry,
+    service: &ServiceSpec,
+    engine: &EngineSpec,
     name: FieldName,
     warnings: &mut Findings,
 ) {
@@ -97,7 +97,7 @@
         (Field::StepPerContext, engine.context_ms_per_k),
         (Field::PrefillRate, Some(engine.prefill_per_s)),
         (Field::AttentionPerPairs, engine.attention_ms),
-        (Field::HelperStep, engine.hop_ms),
+        (Field::HelperStep, engine.helper_step_ms),
     ];
     for (field, value) in fields {
         warn_if_negative(service, name(field), value, warnings);
@@ -105,7 +105,7 @@
 }
 
 fn warn_if_negative(
-    service: &ServiceEntry,
+    service: &ServiceSpec,
     field: &str,
     value: Option<f64>,
     warnings: &mut Findings,
--- a/src/config_check/values.rs
+++ b/src/config_check/values.rs
@@ -4,18 +4,17 @@
 use std::fmt::Display;
 
 use super::model::{
-    ConfigDocument, EngineEntry, Field, LimitsEntry, RouteEntry, ServiceEntry, WorkspaceEntry,
+    ConfigDocument, EngineSpec, Field, LimitsSpec, RouteSpec, ServiceSpec, WorkspaceSpec,
 };
 use crate::ids::RegionName;
 
 pub(super) type Values = Vec<(Field, String)>;
 
-type EngineValue = fn(&EngineEntry) -> String;
+type EngineValue = fn(&EngineSpec) -> String;
 
 pub(super) fn document_values(document: &ConfigDocument) -> Values {
-    let limit = |value: fn(&LimitsEntry) -> String| {
-        document.limits.as_ref().map_or("not set".into(), value)
-    };
+    let limit =
+        |value: fn(&LimitsSpec) -> String| document.limits.as_ref().map_or("not set".into(), value);
     // Without workspaces callers need no key, which differs from an empty list.
     let workspaces = match document.workspaces {
         None => "not set (callers need no key)",
@@ -30,7 +29,7 @@
     ]
 }
 
-pub(super) fn route_values(route: &RouteEntry) -> Values {
+pub(super) fn route_values(route: &RouteSpec) -> Values {
     let targets = route.targets.iter().map(|(service, weight)| format!("{service}:{weight}"));
     vec![
         (Field::Name, route.name.to_string()),
@@ -47,14 +46,14 @@
     ]
 }
 
-pub(super) fn service_values(service: &ServiceEntry) -> Values {
+pub(super) fn service_values(service: &ServiceSpec) -> Values {
     let mut values = vec![
         (Field::MaxConnections, service.max_connections.to_string()),
         (Field::ColdDuration, optional(service.cold_s)),
         (Field::ColdRate, optional(service.cold_per_s)),
     ];
     let of_engine =
-        |value: fn(&EngineEntry) -> String| service.engine.as_ref().map_or("not set".into(), value);
+        |value: fn(&EngineSpec) -> String| service.engine.as_ref().map_or("not set".into(), value);
     let engine: [(Field, EngineValue); 11] = [
         (Field::Slots, |e| e.slots.to_string()),
         (Field::MemoryTokens, |e| e.memory_tokens.to_string()),
@@ -65,14 +64,14 @@
         (Field::PrefillRate, |e| e.prefill_per_s.to_string()),
         (Field::AttentionPerPairs, |e| optional(e.attention_ms)),
         (Field::ChunkTokens, |e| optional(e.chunk_tokens)),
-        (Field::HelperStep, |e| optional(e.hop_ms)),
+        (Field::HelperStep, |e| optional(e.helper_step_ms)),
         (Field::MeanOutputTokens, |e| optional(e.mean_output_tokens)),
     ];
     values.extend(engine.into_iter().map(|(field, value)| (field, of_engine(value))));
     values
 }
 
-pub(super) fn workspace_values(workspace: &WorkspaceEntry) -> Values {
+pub(super) fn workspace_values(workspace: &WorkspaceSpec) -> Values {
     vec![
         (Field::Priority, optional(workspace.priority)),
         (Field::Regions, regions(&workspace.allowed_regions)),
--- a/src/config_check/workspace_rules.rs
+++ b/src/config_check/workspace_rules.rs
@@ -20,7 +20,7 @@
         let repeated = workspace.keys.len() - distinct.len();
         if repeated > 0 {
             let text =
-                format!("{keys}: {repeated} entries repeat a key of this workspace; remove them");
+                format!("{keys}: {repeated} keys of this workspace are repeated; remove them");
             warnings.add(workspace.place.clone(), text);
         }
     }
--- a/src/control/announcement_relay.rs
+++ b/src/control/announcement_relay.rs
@@ -25,11 +25,11 @@
 /// within the silence timeout of the other replicas, and larger batches compress better.
 const REPEAT_RELAY_DELAY: Duration = Duration::from_millis(150);
 
-/// Number of announcements that may be queued for one replica: those that 3,000 endpoints send to one
-/// replica within 100 ms.
+/// Number of announcements that may wait for the link to one replica: those of 3,000 endpoints within
+/// 100 ms.
 const MAX_QUEUED_RELAYS: usize = 256;
 
-/// Number of announcements in one batch.
+/// Maximum number of announcements in one batch, which bounds the size of its frame.
 const MAX_BATCH: usize = 1_024;
 
 /// Number of endpoints whose last announcement is remembered; beyond it, all are forgotten, so that
@@ -77,8 +77,8 @@
     }
 }
 
-/// Whether an announcement says the same as the previous one of its endpoint, which it replaces. The
-/// countdown of a cold endpoint is not taken for a repetition.
+/// Whether an announcement says the same as the previous one of its endpoint, which it replaces. An
+/// announcement of a cold endpoint never counts as a repetition, since its remaining cold time changes.
 fn is_repeat(previous: &mut HashMap<String, Announcement>, announcement: &Announcement) -> bool {
     if previous.len() >= MAX_REMEMBERED_ENDPOINTS {
         previous.clear();
--- a/src/control/hub_subscribers.rs
+++ b/src/control/hub_subscribers.rs
@@ -11,14 +11,14 @@
 use crate::ids::Moment;
 use crate::wire::{Announcement, News};
 
-/// Time for which the list of all endpoints is sent to new subscribers, with the later changes,
-/// before it is built anew: compressing it takes longer than sending it.
+/// Time for which a compressed list of all endpoints is reused for new subscribers, since compressing it
+/// takes longer than sending it. Later changes are sent with it.
 const LIST_VALIDITY: Duration = Duration::from_secs(1);
 
-/// The same for a list with cold endpoints, whose remaining cold times do not advance in the list.
+/// Validity of a list with cold endpoints, which states their remaining cold times as of when it was built.
 const COLD_LIST_VALIDITY: Duration = Duration::from_millis(50);
 
-/// Number of listed endpoints for each change after which the list is built anew.
+/// A list is built anew when more than one in this many of its endpoints has changed.
 const MIN_ENDPOINTS_PER_CHANGE: usize = 8;
 
 /// A connected subscriber, and what it knows.
@@ -32,6 +32,7 @@
     pub(super) drains_revision: Option<u64>,
     /// Whether the subscriber fetches documents when their version is offered.
     pub(super) fetches_documents: bool,
+    /// Whether the subscriber reads compressed updates; earlier builds do not.
     pub(super) reads_packed: bool,
     /// Whether the subscriber needs neither endpoints nor load addresses.
     pub(super) replicas_only: bool,
--- a/src/document.rs
+++ b/src/document.rs
@@ -29,8 +29,8 @@
         /// Error of the protobuf decoder.
         source: prost::DecodeError,
     },
-    /// The content is longer or shorter than the document says.
-    #[snafu(display("the document has {actual} bytes instead of {expected}"))]
+    /// The content is longer or shorter than stated.
+    #[snafu(display("the content has {actual} bytes instead of {expected}"))]
     WrongLength {
         /// Length that the document names.
         expected: usize,
@@ -83,7 +83,7 @@
     Ok(content.into())
 }
 
-/// Compresses at the fastest level: the names of routes are random, so more effort gains little.
+/// Compresses at the fastest level: names and addresses are mostly random, so more effort gains little.
 pub(crate) fn compress(content: &[u8]) -> std::io::Result<Vec<u8>> {
     let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
     encoder.write_all(content)?;
--- a/src/gateway/active_request.rs
+++ b/src/gateway/active_request.rs
@@ -156,19 +156,10 @@
     }
 
     /// Records the outcome of a send in the request and in the health of the endpoint, or of the helper
-    /// that failed it. Only sends that the endpoint itself answered or may have run count.
+    /// that failed it. Failed connections and failed helpers do not count as sends of the route.
     pub fn record_send(&mut self, endpoint: &Endpoint, outcome: &SendOutcome) {
-        if matches!(outcome, SendOutcome::Withheld) {
-            return;
-        }
         let now = boot_now();
         let mut health = self.gateway.health.lock();
-        if let SendOutcome::HelperFailed(helper, _) = outcome {
-            health.record_failure(now, helper);
-            self.exclusions.exclude(helper);
-            return;
-        }
-        self.exclusions.exclude(&endpoint.id);
         match outcome {
             SendOutcome::Responded(response) => {
                 self.sends += 1;
@@ -176,7 +167,12 @@
                     health.record_failure(now, &endpoint.id);
                 }
             }
-            SendOutcome::Withheld | SendOutcome::HelperFailed(..) => {}
+            SendOutcome::Withheld => return,
+            SendOutcome::HelperFailed(helper, _) => {
+                health.record_failure(now, helper);
+                self.exclusions.exclude(helper);
+                return;
+            }
             SendOutcome::NotSent(_) => health.record_unreachable(now, &endpoint.id),
             SendOutcome::Refused(_) => health.record_refused(now, &endpoint.id),
             SendOutcome::NotRun(_) => {
@@ -193,6 +189,7 @@
             }
         }
         drop(health);
+        self.exclusions.exclude(&endpoint.id);
         if matches!(outcome, SendOutcome::Lost(_)) {
             self.suspect_crash(endpoint);
         }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -32,7 +32,7 @@
 const MAX_RESERVATION_ATTEMPTS: u32 = 4;
 
 /// Time for which a request avoids an engine that did not grant it memory, and retry delay suggested
-/// when several did not.
+/// once all attempts failed.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
 /// Handles one request of a caller and returns the response, which may be an event stream.
--- a/src/gateway/head_timeout.rs
+++ b/src/gateway/head_timeout.rs
@@ -1,20 +1,20 @@
 //! How long an engine may take to answer before the request is sent to another one.
 //!
-//! This answers the loss of engines under load: an engine that waits for a lost helper is silent, as
-//! is one that still prefills.
+//! This answers the loss of engines under load. An engine that waits for a lost helper sends nothing, and
+//! neither does one that still prefills; only time tells them apart.
 
 use std::time::Duration;
 
 /// Multiple of the predicted time to the first token after which an engine counts as silent.
 const USUAL_FACTOR: u32 = 3;
 
-/// Time on top of that, in which engines give up on helpers that are lost.
+/// Time added to that multiple; engines give up on lost helpers within it.
 const USUAL_MARGIN: Duration = Duration::from_millis(2500);
 
-/// Multiple of the predicted time that an engine gets at least.
+/// Least multiple of the predicted time that an engine gets, so that slow prefills are not abandoned.
 const MIN_FACTOR: u32 = 2;
 
-/// Time on top of that.
+/// Time added to the least multiple.
 const MIN_MARGIN: Duration = Duration::from_millis(1000);
 
 /// Multiple of the predicted time that another engine needs to be in time.
--- a/src/platform/checked_document.rs
+++ b/src/platform/checked_document.rs
@@ -7,8 +7,8 @@
 };
 use super::headers::strip_port;
 use crate::config_check::model::{
-    ConfigDocument, EngineEntry, Field, LimitsEntry, RouteEntry, ServiceEntry, WorkspaceEntry,
-    WorkspaceKey,
+    ConfigDocument, EngineSpec, Field, LimitsSpec, RouteSpec, ServiceSpec, WorkspaceKey,
+    WorkspaceSpec,
 };
 use crate::document::MAX_DOCUMENT_BYTES;
 use crate::findings::{Findings, Place};
@@ -75,7 +75,7 @@
 }
 
 fn translate(wire: WireDocument) -> ConfigDocument {
-    let limits = wire.limits.map(|limits| LimitsEntry {
+    let limits = wire.limits.map(|limits| LimitsSpec {
         header_bytes: limits.max_header_bytes,
         body_bytes: limits.max_body_bytes,
         header_timeout_ms: limits.header_timeout_ms,
@@ -95,8 +95,8 @@
     }
 }
 
-fn translate_route(index: usize, route: WireRoute) -> RouteEntry {
-    RouteEntry {
+fn translate_route(index: usize, route: WireRoute) -> RouteSpec {
+    RouteSpec {
         place: route.place(index),
         host_without_port: strip_port(&route.hostname).into(),
         is_idempotent: route.is_idempotent(),
@@ -117,8 +117,8 @@
     }
 }
 
-fn translate_service(index: usize, service: WireService) -> ServiceEntry {
-    ServiceEntry {
+fn translate_service(index: usize, service: WireService) -> ServiceSpec {
+    ServiceSpec {
         place: Place::Whole(format!("Backends[{index}] {}", service.name)),
         name: service.name,
         max_connections: service.max_conns.unwrap_or(DEFAULT_MAX_CONNECTIONS),
@@ -128,8 +128,8 @@
     }
 }
 
-fn translate_engine(runtime: WireRuntime) -> EngineEntry {
-    EngineEntry {
+fn translate_engine(runtime: WireRuntime) -> EngineSpec {
+    EngineSpec {
         slots: runtime.slots,
         memory_tokens: runtime.memory_tokens,
         stride: runtime.stride,
@@ -139,13 +139,13 @@
         prefill_per_s: runtime.read_per_s,
         attention_ms: runtime.pairs_per_m,
         chunk_tokens: runtime.chunk,
-        hop_ms: runtime.hop_ms,
+        helper_step_ms: runtime.hop_ms,
         mean_output_tokens: runtime.usual.map(|usual| usual.answer),
     }
 }
 
-fn translate_workspace(index: usize, workspace: WireWorkspace) -> WorkspaceEntry {
-    WorkspaceEntry {
+fn translate_workspace(index: usize, workspace: WireWorkspace) -> WorkspaceSpec {
+    WorkspaceSpec {
         place: workspace.place(index),
         name: workspace.name,
         keys: workspace.api_keys.into_iter().map(WorkspaceKey::new).collect(),
--- a/src/platform/document_in_force.rs
+++ b/src/platform/document_in_force.rs
@@ -62,11 +62,11 @@
     let parse = |text: &str| {
         let parsed = text.parse::<Authority>().ok();
         let usable = parsed.filter(|a| a.port_u16().is_some() && !a.as_str().contains('@'));
-        usable.ok_or_else(|| format!("{text:?} is no address; give IP:PORT,..."))
+        usable.ok_or_else(|| format!("{text:?} is no address; give HOST:PORT,..."))
     };
     let addresses = texts.map(parse).collect::<Result<Vec<_>, _>>()?;
     if addresses.is_empty() {
-        return Err("no address of control; give IP:PORT,...".into());
+        return Err("no address of control; give HOST:PORT,...".into());
     }
     Ok(addresses)
 }
--- a/src/raft/election.rs
+++ b/src/raft/election.rs
@@ -6,9 +6,9 @@
 use crate::ids::{Index, Moment, ReplicaId, Term};
 use crate::wire::{PreVote, PreVoteReply, Vote, VoteReply, peer};
 
-/// Number of syncs that fit into an election timeout. A heartbeat waits for a sync of the leader, its
-/// answer for one of the follower and for the next one of the leader; the fourth is a margin, without
-/// which leaders stepped down at syncs of 600 ms.
+/// Number of syncs that an election timeout has to cover. A heartbeat waits for one sync of the leader,
+/// one of the follower, and the next one of the leader; the fourth is a margin. [`MAX_SYNC_ALLOWANCE`]
+/// limits this to syncs of at most 375 ms.
 const SYNCS_PER_ELECTION: u32 = 4;
 
 /// Upper bound of an election timeout that was extended for slow syncs. A disk that once stalled for
@@ -16,14 +16,14 @@
 /// two elections fit into them.
 const MAX_SYNC_ALLOWANCE: Duration = Duration::from_millis(1500);
 
-/// Time for which a slow sync extends the election timeout.
-const SLOW_SYNC_MEMORY: Duration = Duration::from_secs(30);
+/// Time for which the longest sync extends the election timeout.
+const SYNC_RETENTION: Duration = Duration::from_secs(30);
 
 impl Raft {
     /// Records how long a sync of this replica's disk took, at its end.
     ///
     /// A replica sends nothing while it syncs. With syncs of half the election timeout, followers
-    /// would therefore give up a sound leader, and a candidate would start the next election before
+    /// would therefore give up a working leader, and a candidate would start the next election before
     /// the votes of the last one could arrive; the election timeout is extended accordingly.
     ///
     /// ```
@@ -37,7 +37,7 @@
     /// ```
     pub fn record_sync(&mut self, now: Moment, took: Duration) {
         let (longest, at) = self.longest_sync;
-        if took >= longest || now.saturating_sub(at) > SLOW_SYNC_MEMORY {
+        if took >= longest || now.saturating_sub(at) > SYNC_RETENTION {
             self.longest_sync = (took, now);
         }
         // The first slow sync is known only at its end. A candidate then still waits for the voters'
@@ -47,10 +47,11 @@
         }
     }
 
-    /// Shortest election timeout in which the recent syncs of this replica allow an election.
+    /// Lower bound of the election timeout for the recent syncs of this replica, at most
+    /// [`MAX_SYNC_ALLOWANCE`]; zero if none was recorded lately.
     pub(super) fn sync_allowance(&self, now: Moment) -> Duration {
         let (longest, at) = self.longest_sync;
-        if now.saturating_sub(at) > SLOW_SYNC_MEMORY {
+        if now.saturating_sub(at) > SYNC_RETENTION {
             return Duration::ZERO;
         }
         (longest * SYNCS_PER_ELECTION).min(MAX_SYNC_ALLOWANCE)
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -148,7 +148,8 @@
     effects: Vec<Effect>,
     /// Bytes of entries and snapshot chunks that were lost, since they were taken last.
     lost_bytes: usize,
-    /// Longest recent sync of this replica's disk, and when it ended.
+    /// Longest sync of this replica's disk since the last one expired, and when it ended; shorter ones
+    /// meanwhile are not kept.
     longest_sync: (Duration, Moment),
 }
 
--- a/tests/control_start.rs
+++ b/tests/control_start.rs
@@ -278,7 +278,8 @@
     fn on_closed(&self, _conn: &Conn) {}
 }
 
-/// Each announcement goes to all other replicas, the unchanged ones too.
+/// Guards against relays that are sent one by one: six replicas relay every announcement to five others,
+/// so that their traffic grows with the endpoints.
 #[test]
 fn relayed_announcements_cost_a_replica_little() {
     let (replica, others) = (runtime(REPLICA_THREADS), runtime("others"));
--- a/tests/emulator/fleet.rs
+++ b/tests/emulator/fleet.rs
@@ -78,7 +78,7 @@
     pub earned: f64,
     /// Time to the first event as predicted for its last send, in milliseconds.
     pub predicted_ms: f64,
-    /// What was so when it was placed last; `None` if it was not.
+    /// State of the engines at its last placement; `None` if it was never placed.
     pub placed: Option<Placed>,
 }
 
--- a/tests/platform/evidence.rs
+++ b/tests/platform/evidence.rs
@@ -18,7 +18,7 @@
         metrics.contains(&format!("bitternlead_entries {ENTRIES}\n"))
     })
     .await;
-    fixture.orders[0].set(ServerMode::NamesTime);
+    fixture.orders[0].set(ServerMode::SendsRetryAfter);
     let start = Instant::now();
     for entry in 0..2 {
         let mut was_refused = false;
--- a/tests/platform/promises.rs
+++ b/tests/platform/promises.rs
@@ -11,7 +11,7 @@
 
 /// Time after a server has named a time in which requests on their way may reach it, and how many
 /// may later.
-const UNDER_WAY: Duration = Duration::from_millis(500);
+const IN_FLIGHT_TIME: Duration = Duration::from_millis(500);
 const MOST_IN_NAMED_TIME: usize = 2;
 
 /// Memory that an entry may use, in kilobytes: that of the smallest hosts of the deployments.
@@ -20,8 +20,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_server_that_says_in_an_answer_that_it_leaves_gets_no_more_requests() {
     let fixture = start_fixture(1).await;
-    fixture.engines[0].set(ServerMode::SaysItLeaves);
-    fixture.orders[0].set(ServerMode::SaysItLeaves);
+    fixture.engines[0].set(ServerMode::AnnouncesShutdown);
+    fixture.orders[0].set(ServerMode::AnnouncesShutdown);
     let start = Instant::now();
     while start.elapsed() < 2 * DRAIN {
         let (asked, ..) = fixture.nodes.send(0, ask("/ask/x", 1000)).await;
@@ -40,7 +40,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_server_that_names_a_time_gets_no_requests_until_then() {
     let fixture = start_fixture(1).await;
-    fixture.orders[0].set(ServerMode::NamesTime);
+    fixture.orders[0].set(ServerMode::SendsRetryAfter);
     let start = Instant::now();
     while start.elapsed() < Duration::from_millis(1900) {
         let (status, ..) = fixture.nodes.send(0, plain("GET", "/book/status/x")).await;
@@ -49,7 +49,7 @@
     let runs = fixture.records.runs.lock().clone();
     let mut arrivals = runs.iter().filter(|r| r.server == "order-0" && r.at >= start);
     let named = arrivals.next().expect("the server was used before").at;
-    let later = arrivals.filter(|r| r.at > named + UNDER_WAY).count();
+    let later = arrivals.filter(|r| r.at > named + IN_FLIGHT_TIME).count();
     assert!(later <= MOST_IN_NAMED_TIME, "{later} requests in the time that it named");
     fixture.orders[0].set(ServerMode::Normal);
     tokio::time::sleep(Duration::from_millis(2100).saturating_sub(named.elapsed())).await;
@@ -65,7 +65,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn when_all_servers_name_a_time_callers_are_told_at_once_when_to_come_back() {
     let fixture = start_fixture(1).await;
-    fixture.orders.iter().for_each(|s| s.set(ServerMode::NamesTime));
+    fixture.orders.iter().for_each(|s| s.set(ServerMode::SendsRetryAfter));
     for _ in 0..4 {
         let _ = fixture.nodes.send(0, plain("GET", "/book/status/x")).await;
     }
@@ -80,8 +80,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_without_end_are_cut_off_and_fill_no_memory() {
     let fixture = start_fixture(1).await;
-    fixture.engines[0].set(ServerMode::SendsWithoutEnd);
-    fixture.orders[0].set(ServerMode::SendsWithoutEnd);
+    fixture.engines[0].set(ServerMode::SendsEndlessResponse);
+    fixture.orders[0].set(ServerMode::SendsEndlessResponse);
     for _ in 0..10 {
         let started = Instant::now();
         let (asked, _, events) = fixture.nodes.send(0, ask("/ask/x", 1000)).await;
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -40,7 +40,7 @@
 pub const LARGE_EVENTS: usize = 100;
 pub const LARGE_EVENT_BYTES: usize = 30_000;
 
-/// Time for which a server wants no requests after a refusal in the mode [`ServerMode::NamesTime`].
+/// Time for which a server wants no requests after a refusal in the mode [`ServerMode::SendsRetryAfter`].
 pub const NAMED_TIME: Duration = Duration::from_secs(2);
 
 /// How a server responds to requests.
@@ -66,11 +66,11 @@
     /// Sends the bytes of a stream's fifth event so slowly that it never ends.
     Drips,
     /// Responds with success and says that it leaves, but goes on to announce that it is ready.
-    SaysItLeaves,
+    AnnouncesShutdown,
     /// Responds that it did not run the request and wants none for two seconds.
-    NamesTime,
+    SendsRetryAfter,
     /// Sends bytes without end in place of a body or an event.
-    SendsWithoutEnd,
+    SendsEndlessResponse,
     /// Responds with a body of [`LARGE_ANSWER_BYTES`].
     LargeAnswer,
     /// Responds with a body of [`USUAL_ANSWER_BYTES`].
@@ -490,7 +490,7 @@
     let id = text("attempt-id").unwrap_or_default();
     let streams = text("token-usage").is_some();
     let last_event = text("last-event-id").and_then(|v| v.parse().ok());
-    let refuses = matches!(mode, ServerMode::Refuses | ServerMode::NamesTime);
+    let refuses = matches!(mode, ServerMode::Refuses | ServerMode::SendsRetryAfter);
     let helpers = text("helpers").unwrap_or_default();
     let lost_helper = records.lost_helper.lock().filter(|addr| {
         helpers.split(',').any(|h| h.trim().split('/').next() == Some(&addr.to_string()))
@@ -518,7 +518,7 @@
     if is_refused {
         let refusal = with_limit(Response::builder().status(503).header("not-executed", "1"));
         let refusal = match mode {
-            ServerMode::NamesTime => {
+            ServerMode::SendsRetryAfter => {
                 let until = Instant::now() + NAMED_TIME;
                 records.named_times.lock().push((id.clone(), server, until));
                 refusal.header("retry-after", NAMED_TIME.as_secs().to_string())
@@ -536,13 +536,13 @@
         .header("attempt-id", response_id)
         .header("server-signature", format!("signed-by-{server}"));
     let head = match mode {
-        ServerMode::SaysItLeaves => {
+        ServerMode::AnnouncesShutdown => {
             records.said_leaving.lock().push((id.clone(), server.clone(), Instant::now()));
             head.header("server-leaving", "1")
         }
         _ => head,
     };
-    if mode == ServerMode::SendsWithoutEnd {
+    if mode == ServerMode::SendsEndlessResponse {
         return Ok(head.body(endless_body()).unwrap());
     }
     if mode == ServerMode::Fails {
--- a/tests/platform/slow_readers.rs
+++ b/tests/platform/slow_readers.rs
@@ -270,7 +270,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn fifty_endless_answers_at_once_cost_neither_memory_nor_other_callers() {
     let fixture = start_for_large_bodies().await;
-    fixture.orders.iter().for_each(|s| s.set(ServerMode::SendsWithoutEnd));
+    fixture.orders.iter().for_each(|s| s.set(ServerMode::SendsEndlessResponse));
     let start = Instant::now();
     let endless = join_all((0..ENDLESS_ANSWERS).map(|_| async {
         let mut req = plain("POST", "/book/1");
--- a/tests/soak/bites.rs
+++ b/tests/soak/bites.rs
@@ -206,6 +206,7 @@
     assert!(checks::check_crashing_part(&history, &late, "bad", None).is_empty());
 }
 
+/// Guards against a check that misses requests sent after an announced shutdown.
 #[test]
 fn a_request_at_a_server_that_said_that_it_leaves_is_found_unless_another_entry_sent_it() {
     let (history, at) = (History::default(), start());
@@ -214,11 +215,13 @@
     let later = |entry| Outcome { id: "r-2".into(), entry, ..first.clone() };
     let check = |entry, after_ms| {
         let runs = [run("r-2", "engine-1", at + Duration::from_millis(after_ms))];
-        checks::check_said_leaving(&history, &[first.clone(), later(entry)], &runs, &said).len()
+        checks::check_announced_shutdowns(&history, &[first.clone(), later(entry)], &runs, &said)
+            .len()
     };
     assert_eq!((check(0, 1200), check(0, 900), check(1, 1200)), (1, 0, 0));
 }
 
+/// Guards against a check that misses requests sent before a `Retry-After` is over.
 #[test]
 fn a_request_before_the_time_that_a_server_named_is_found() {
     let (history, at) = (History::default(), start());
@@ -226,11 +229,12 @@
     let outcomes = [outcome(Kind::Status, at, answered(503, ""))];
     let check = |after_ms| {
         let runs = [run("r-1", "order-1", at + Duration::from_millis(after_ms))];
-        checks::check_named_times(&history, &outcomes, &runs, &named).len()
+        checks::check_retry_after(&history, &outcomes, &runs, &named).len()
     };
     assert_eq!((check(300), check(700), check(1900), check(2100)), (0, 1, 1, 0));
 }
 
+/// Guards against a check that misses answers over the limit.
 #[test]
 fn an_answer_without_end_is_found() {
     let check = |length| {
@@ -240,6 +244,7 @@
     assert_eq!((check(4 * 1024 * 1024), check(4 * 1024 * 1024 + 1)), (0, 1));
 }
 
+/// Guards against a check that misses wrongly disconnected readers, or stalled ones that are kept.
 #[test]
 fn a_disconnected_steady_reader_and_a_stalled_one_that_is_kept_are_found() {
     let check = |is_steady, is_whole| {
@@ -253,6 +258,7 @@
     assert_eq!((check(false, true), check(false, false)), (1, 0));
 }
 
+/// Guards against a check that misses memory that is held after the last caller has left.
 #[test]
 fn bytes_that_an_entry_holds_for_no_caller_are_found() {
     let check = |bytes| {
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -36,12 +36,12 @@
 
 /// Time after an answer that said that its server leaves from which the entry that passed it on sends
 /// nothing there.
-pub const SAID_LEAVING_LIMIT: Duration = Duration::from_secs(1);
+pub const SHUTDOWN_NOTICE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Time for which requests that were on their way may still reach a server that named a time.
-pub const UNDER_WAY: Duration = Duration::from_millis(500);
+pub const IN_FLIGHT_TIME: Duration = Duration::from_millis(500);
 
-/// Largest answer that an entry passes on, and the size of the chunk with which it exceeds that.
+/// Maximum size of an answer that an entry passes on, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// Time after the acknowledgement of a zone's drain from which its servers get nothing.
@@ -69,9 +69,9 @@
     findings.extend(check_limits(history, &runs));
     findings.extend(check_budget(&outcomes, &runs));
     let said = records.said_leaving.lock().clone();
-    findings.extend(check_said_leaving(history, &outcomes, &runs, &said));
+    findings.extend(check_announced_shutdowns(history, &outcomes, &runs, &said));
     let named = records.named_times.lock().clone();
-    findings.extend(check_named_times(history, &outcomes, &runs, &named));
+    findings.extend(check_retry_after(history, &outcomes, &runs, &named));
     findings.extend(check_endless(&outcomes));
     findings.extend(check_slow_reads(history));
     let part = records.crashing_part.lock().clone().unwrap_or_default();
@@ -227,7 +227,7 @@
     let entry = entries.get(request).copied();
     runs.iter().filter(move |r| {
         let is_of_entry = entry.is_some() && entries.get(r.request.as_str()).copied() == entry;
-        let was_untouched = |at| history.was_untouched(at, span.start - UNDER_WAY * 2, r.at);
+        let was_untouched = |at| history.was_untouched(at, span.start - IN_FLIGHT_TIME * 2, r.at);
         r.server == server
             && is_of_entry
             && span.contains(&r.at)
@@ -236,7 +236,7 @@
 }
 
 /// An entry that passed on an answer of a leaving server sends nothing there after a time.
-pub fn check_said_leaving(
+pub fn check_announced_shutdowns(
     history: &History,
     outcomes: &[Outcome],
     runs: &[Run],
@@ -245,7 +245,7 @@
     let entries = entries_by_request(outcomes);
     let mut findings = Vec::new();
     for (request, server, at) in said {
-        let span = *at + SAID_LEAVING_LIMIT..*at + Duration::from_secs(3600);
+        let span = *at + SHUTDOWN_NOTICE_LIMIT..*at + Duration::from_secs(3600);
         for run in runs_of_entry(history, &entries, runs, (request, server), span) {
             let after = run.at - *at;
             findings.push(format!("leaving: {server} got {} {after:?} later", run.request));
@@ -255,7 +255,7 @@
 }
 
 /// An entry that was refused with a time sends nothing to that server before it.
-pub fn check_named_times(
+pub fn check_retry_after(
     history: &History,
     outcomes: &[Outcome],
     runs: &[Run],
@@ -264,7 +264,7 @@
     let entries = entries_by_request(outcomes);
     let mut findings = Vec::new();
     for (request, server, until) in named {
-        let span = *until - crate::servers::NAMED_TIME + UNDER_WAY..*until;
+        let span = *until - crate::servers::NAMED_TIME + IN_FLIGHT_TIME..*until;
         for run in runs_of_entry(history, &entries, runs, (request, server), span) {
             let before = *until - run.at;
             findings.push(format!("named time: {server} got {} {before:?} early", run.request));
--- a/tests/soak/conductor.rs
+++ b/tests/soak/conductor.rs
@@ -248,7 +248,7 @@
             }
             9 => {
                 self.history.count("server says it leaves");
-                self.servers[at].set(ServerMode::SaysItLeaves);
+                self.servers[at].set(ServerMode::AnnouncesShutdown);
                 self.start_server(service).await;
                 self.undo.push((now + DRAIN_TIME, Undo::Replace(id)));
             }
@@ -273,11 +273,11 @@
                     6 => ServerMode::TruncatesStream,
                     10 => {
                         self.history.count("server names a time");
-                        ServerMode::NamesTime
+                        ServerMode::SendsRetryAfter
                     }
                     11 => {
                         self.history.count("endless answers");
-                        ServerMode::SendsWithoutEnd
+                        ServerMode::SendsEndlessResponse
                     }
                     _ => ServerMode::Refuses,
                 };
