--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod record;
 mod server;
+mod stale;
 mod stuck;
 mod system;
 
@@ -47,6 +48,7 @@
         "stuck" => stuck::run(&record, trouble),
         "departure" => departure::run(&record, trouble),
         "forged" => forged::run(&record, trouble),
+        "stale" => stale::run(&record, trouble),
         _ => panic!("no such case"),
     };
     let verdict = catch_unwind(AssertUnwindSafe(run));
--- a/review/harness/server.rs
+++ b/review/harness/server.rs
@@ -34,7 +34,7 @@
     pub addr: SocketAddr,
     service: String,
     zone: usize,
-    born: u64,
+    born: AtomicU64,
     seq: AtomicU64,
     controls: Vec<SocketAddr>,
     /// Index of the control that is called first.
@@ -66,7 +66,7 @@
             addr,
             service: service.to_owned(),
             zone,
-            born: unix_ms(),
+            born: AtomicU64::new(unix_ms()),
             seq: AtomicU64::new(0),
             controls: (0..ZONES.len()).map(|m| system.control(m)).collect(),
             at: AtomicU64::new(zone as u64),
@@ -101,7 +101,10 @@
         let body = format!(
             r#"{{"Backend":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":6,
             "State":"ready","ColdLeftMs":0,"Seq":{seq},"born":{}}}"#,
-            self.service, self.addr, ZONES[self.zone], self.born
+            self.service,
+            self.addr,
+            ZONES[self.zone],
+            self.born.load(Ordering::SeqCst)
         );
         let path = format!("/api/instances/{}", self.id);
         for _ in 0..self.controls.len() {
@@ -126,6 +129,14 @@
         self.beats.store(false, Ordering::SeqCst);
     }
 
+    /// Starts again under the same id, with a new start and a count that begins anew.
+    pub fn restart(&self) {
+        self.born.store(unix_ms(), Ordering::SeqCst);
+        self.seq.store(0, Ordering::SeqCst);
+        self.beats.store(true, Ordering::SeqCst);
+        self.beat();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut channel = Channel::new(stream);
         while let Ok(head) = channel.read_head(None) {
