--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,8 +1,8 @@
 //! Test cases of the review that cannot be played as a day of the bench.
 //!
-//! `harness CASE RECORD` starts the project's own programs on loopback addresses, brings one
-//! disruption about unless `TROUBLE=0` is set, and judges what clients and servers saw. It exits
-//! with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+//! `harness CASE RECORD TROUBLE` starts the project's own programs on loopback addresses, brings one
+//! disruption about unless `TROUBLE` is 0, and judges what clients and servers saw. It exits with 1
+//! if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod departure;
 mod forged;
@@ -31,11 +31,11 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
-    let [_, name, path] = args.as_slice() else {
-        eprintln!("usage: harness CASE RECORD");
+    let [_, name, path, trouble] = args.as_slice() else {
+        eprintln!("usage: harness CASE RECORD TROUBLE");
         exit(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    let trouble = trouble != "0";
     let record = Record::create(path);
     record.note(&format!("case {name}, disruption: {trouble}"));
     thread::spawn(|| {
