Acknowledge a departure only when other replicas know it

Cause: the replica changed its own directory and answered. Entries are told 20 ms and the other replicas 15 ms later, and departures are not repeated by their endpoints. Ruled out: a newer announcement that wins, and reports that entries drop; the survivors never heard of the departure.

Change: departures and drains of endpoints are sent to the other replicas at once and repeated until confirmed; the answer is 200 when `tolerance` others have confirmed, 503 after 700 ms. A replica that does not know the endpoint relays its departure all the same, and one that hears of a departure first keeps it against late announcements. E504 says on whose word.

--- a/src/control/announcement_relay.rs
+++ b/src/control/announcement_relay.rs
@@ -2,19 +2,23 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
+use super::confirmations::Confirm;
 use super::core_config::Published;
+use super::departure_relay::{Departure, deliver_departures};
 use super::packing::pack_announcements;
+use super::replica_link::ReplicaLink;
 use crate::clock::boot_now;
 use crate::directory::{age_cold_time, equal_except_countdown};
 use crate::ids::Moment;
 use crate::wire::envelope::Body;
-use crate::wire::link::{Link, LinkConfig};
+use crate::wire::link::LinkConfig;
 use crate::wire::{Announcement, Standing};
 
 /// Time for which announcements to another replica are gathered, so that they share a write. It is
@@ -36,6 +40,21 @@
 /// the next announcement of each is relayed like a change.
 const MAX_REMEMBERED_ENDPOINTS: usize = 16_384;
 
+/// An announcement for the other replicas.
+pub struct RelayedAnnouncement {
+    /// What an endpoint said to this replica.
+    pub announcement: Announcement,
+    /// Takes the confirmations of replicas that know it, if it has to be confirmed.
+    pub confirm: Option<Confirm>,
+}
+
+impl From<Announcement> for RelayedAnnouncement {
+    /// An announcement that nobody waits for.
+    fn from(announcement: Announcement) -> Self {
+        Self { announcement, confirm: None }
+    }
+}
+
 /// An announcement on its way to another replica.
 #[derive(Clone)]
 struct QueuedAnnouncement {
@@ -44,39 +63,64 @@
     announcement: Announcement,
 }
 
-/// Forwards announcements to all other replicas, with one task and link for each.
+/// Queues to one other replica.
+struct ReplicaQueues {
+    /// Announcements that their endpoints repeat.
+    repeated: mpsc::Sender<QueuedAnnouncement>,
+    departures: mpsc::UnboundedSender<Departure>,
+}
+
+impl ReplicaQueues {
+    /// Starts the tasks that empty the queues over one link.
+    fn start(addr: SocketAddr, cfg: LinkConfig, cx: CancellationToken) -> Self {
+        let link = Arc::new(ReplicaLink::new(addr, cfg, cx));
+        let (repeated, rx) = mpsc::channel(MAX_QUEUED_RELAYS);
+        tokio::spawn(relay_to_replica(Arc::clone(&link), rx));
+        let (departures, rx) = mpsc::unbounded_channel();
+        tokio::spawn(deliver_departures(link, rx));
+        Self { repeated, departures }
+    }
+}
+
+/// Forwards announcements to all other replicas, with one link for each.
 ///
-/// Announcements that find a full queue or no connection are dropped; endpoints repeat them.
+/// Announcements that have to be confirmed are sent until they are. Others that find a full queue or
+/// no connection are dropped; endpoints repeat them.
 pub async fn relay_announcements(
-    mut rx: mpsc::UnboundedReceiver<Announcement>,
+    mut rx: mpsc::UnboundedReceiver<RelayedAnnouncement>,
     published: watch::Receiver<Published>,
     own: String,
     cfg: LinkConfig,
     cx: CancellationToken,
 ) {
-    let mut links: HashMap<String, mpsc::Sender<QueuedAnnouncement>> = HashMap::new();
+    let mut queues: HashMap<SocketAddr, ReplicaQueues> = HashMap::new();
     let mut previous: HashMap<String, Announcement> = HashMap::new();
-    while let Some(announcement) = rx.recv().await {
+    while let Some(RelayedAnnouncement { announcement, confirm }) = rx.recv().await {
         let received_at = boot_now();
         let is_repeat = is_repeat(&mut previous, &announcement);
         let delay = if is_repeat { REPEAT_RELAY_DELAY } else { RELAY_DELAY };
-        let published = published.borrow();
-        let replicas = &published.replicas;
-        links.retain(|address, _| replicas.iter().any(|r| r.address == *address));
-        for replica in replicas.iter().filter(|r| r.address != own) {
-            let tx = links.entry(replica.address.clone()).or_insert_with(|| {
-                let (tx, rx) = mpsc::channel(MAX_QUEUED_RELAYS);
-                if let Ok(addr) = replica.address.parse() {
-                    tokio::spawn(relay_to_replica(addr, rx, cfg.clone(), cx.clone()));
-                }
-                tx
-            });
+        let others = other_replicas(&published.borrow(), &own);
+        queues.retain(|addr, _| others.contains(addr));
+        for addr in others {
+            let queues = queues
+                .entry(addr)
+                .or_insert_with(|| ReplicaQueues::start(addr, cfg.clone(), cx.clone()));
             let announcement = announcement.clone();
-            let _ = tx.try_send(QueuedAnnouncement { received_at, delay, announcement });
+            if let Some(confirm) = confirm.clone() {
+                let _ = queues.departures.send(Departure { announcement, received_at, confirm });
+            } else {
+                let queued = QueuedAnnouncement { received_at, delay, announcement };
+                let _ = queues.repeated.try_send(queued);
+            }
         }
     }
 }
 
+fn other_replicas(published: &Published, own: &str) -> Vec<SocketAddr> {
+    let others = published.replicas.iter().filter(|replica| replica.address != own);
+    others.filter_map(|replica| replica.address.parse().ok()).collect()
+}
+
 /// Whether an announcement says the same as the previous one of its endpoint, which it replaces. An
 /// announcement of a cold endpoint never counts as a repetition, since its remaining cold time changes.
 fn is_repeat(previous: &mut HashMap<String, Announcement>, announcement: &Announcement) -> bool {
@@ -96,20 +140,11 @@
     }
 }
 
-async fn relay_to_replica(
-    addr: SocketAddr,
-    mut rx: mpsc::Receiver<QueuedAnnouncement>,
-    cfg: LinkConfig,
-    cx: CancellationToken,
-) {
-    let mut link: Option<Link> = None;
+async fn relay_to_replica(link: Arc<ReplicaLink>, mut rx: mpsc::Receiver<QueuedAnnouncement>) {
     while let Some(first) = rx.recv().await {
-        if link.as_ref().is_none_or(|l| l.is_closed()) {
-            link = Link::connect(addr, &cfg, &cx).await.ok();
-        }
-        let Some(link) = &link else { continue };
+        let Some(link) = link.connected().await else { continue };
         let batch = gather(first, &mut rx).await;
-        let packed = if link.peer_reads_packed() { pack_announcements(&batch) } else { None };
+        let packed = if link.peer().reads_packed { pack_announcements(&batch) } else { None };
         match packed {
             Some(packed) => {
                 link.try_send(Body::PackedAnnouncements(packed));
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -11,7 +11,9 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use super::announcement_relay::RelayedAnnouncement;
 use super::bootstrap::BootstrapService;
+use super::confirmations::Confirmations;
 use super::core_config::Published;
 use super::hub_subscribers::{Broadcast, EndpointList, Subscriber, load_addresses};
 use super::packing::unpack_announcements;
@@ -25,7 +27,7 @@
 use crate::wire::envelope::Body;
 use crate::wire::server::{Conn, Handler};
 use crate::wire::{
-    Announcement, Document, DocumentPart, FetchDocument, News, QuarantineReport, Standing,
+    Ack, Announcement, Document, DocumentPart, FetchDocument, News, QuarantineReport, Standing,
     Subscribe,
 };
 
@@ -57,6 +59,27 @@
 /// announce itself.
 const RESTORED_SILENCE_SHARE: f64 = 0.6;
 
+/// On whose word the state of an endpoint changed.
+#[derive(Clone, Copy, Debug)]
+enum Origin {
+    /// The endpoint called this replica.
+    Endpoint,
+    /// Another replica relayed what the endpoint said.
+    Replica,
+    /// Nothing was heard of the endpoint.
+    Silence,
+}
+
+impl Origin {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Endpoint => "endpoint",
+            Self::Replica => "replica",
+            Self::Silence => "silence",
+        }
+    }
+}
+
 #[derive(Default)]
 struct Inner {
     directory: Directory,
@@ -92,7 +115,7 @@
 pub struct Hub {
     inner: Mutex<Inner>,
     published: watch::Receiver<Published>,
-    relay: mpsc::UnboundedSender<Announcement>,
+    relay: mpsc::UnboundedSender<RelayedAnnouncement>,
     endpoints_changed: Notify,
     endpoints_to_send: Notify,
     quarantine_changed: Notify,
@@ -108,7 +131,7 @@
         silence: Duration,
         restored: Vec<Announcement>,
         published: watch::Receiver<Published>,
-        relay: mpsc::UnboundedSender<Announcement>,
+        relay: mpsc::UnboundedSender<RelayedAnnouncement>,
         log: Logger,
     ) -> Self {
         let mut directory = Directory::new(silence);
@@ -164,44 +187,58 @@
     }
 
     /// Applies an announcement that an endpoint sent to this replica and relays it.
-    pub fn announce(&self, announcement: Announcement) {
-        let _ = self.relay.send(announcement.clone());
-        self.apply_announcement(announcement);
+    ///
+    /// Returns the confirmations of other replicas that the endpoint leaves; `None` if it does not.
+    pub fn announce(&self, announcement: Announcement) -> Option<Confirmations> {
+        let leaves = announcement.standing() == Standing::Draining;
+        let (confirm, confirmations) = leaves.then(Confirmations::channel).unzip();
+        let _ =
+            self.relay.send(RelayedAnnouncement { announcement: announcement.clone(), confirm });
+        self.apply(announcement, Origin::Endpoint);
+        confirmations
     }
 
-    /// Marks an endpoint as gone on its own request, logs and publishes that, and relays it.
-    pub fn mark_gone(&self, id: &str) {
-        let gone = self.inner.lock().directory.mark_gone(id, None);
-        let Some(announcement) = gone else { return };
-        let _ = self.relay.send(announcement.clone());
-        self.publish(vec![announcement]);
+    /// Marks an endpoint as gone on its own request, logs and publishes that, and relays it. Returns
+    /// the confirmations of other replicas.
+    ///
+    /// An endpoint that this replica does not know may be known to others.
+    pub fn depart(&self, id: &str) -> Confirmations {
+        let announcement = self.inner.lock().directory.departure_of(id);
+        let (confirm, confirmations) = Confirmations::channel();
+        let confirm = Some(confirm);
+        let _ =
+            self.relay.send(RelayedAnnouncement { announcement: announcement.clone(), confirm });
+        self.apply(announcement, Origin::Endpoint);
+        confirmations
     }
 
     /// Applies an announcement that another replica relayed and publishes what changed.
     pub fn apply_announcement(&self, announcement: Announcement) {
+        self.apply(announcement, Origin::Replica);
+    }
+
+    fn apply(&self, announcement: Announcement, origin: Origin) {
+        let now = boot_now();
+        let mut inner = self.inner.lock();
+        let directory = &mut inner.directory;
         let changed = match announcement.standing() {
-            Standing::Gone => {
-                let gone = self
-                    .inner
-                    .lock()
-                    .directory
-                    .mark_gone(&announcement.id, Some(announcement.born));
-                gone.map(|s| vec![s])
-            }
-            _ => self.inner.lock().directory.record(boot_now(), announcement),
+            Standing::Gone => directory.record_departure(now, announcement).map(|gone| vec![gone]),
+            _ => directory.record(now, announcement),
         };
+        drop(inner);
         if let Some(changed) = changed {
-            self.publish(changed);
+            self.publish(changed, origin);
         }
     }
 
     /// Logs changed endpoints, and lets them be sent to all subscribers.
-    fn publish(&self, announcements: Vec<Announcement>) {
+    fn publish(&self, announcements: Vec<Announcement>, origin: Origin) {
         for announcement in &announcements {
             let standing = announcement.standing().as_str_name();
             event!(self.log, EndpointStateChanged, "endpoint" => &announcement.id,
                 "service" => &announcement.service, "address" => &announcement.address,
-                "standing" => standing, "born" => announcement.born, "seq" => announcement.seq,
+                "standing" => standing, "by" => origin.as_str(),
+                "born" => announcement.born, "seq" => announcement.seq,
                 "cold_ms" => announcement.cold_ms);
         }
         self.endpoints_changed.notify_one();
@@ -349,7 +386,7 @@
                 _ = sweep.tick() => {
                     let silent = self.inner.lock().directory.mark_silent(boot_now());
                     if !silent.is_empty() {
-                        self.publish(silent);
+                        self.publish(silent, Origin::Silence);
                     }
                     self.inner.lock().quarantine.expire(boot_now());
                 }
@@ -406,6 +443,15 @@
     }
 }
 
+/// Confirms announcements that were sent as a call; others have the number 0.
+fn confirm(conn: &Conn, call: u64) {
+    if call == 0 {
+        return;
+    }
+    let conn = conn.clone();
+    tokio::spawn(async move { conn.send(call, Body::Ack(Ack {})).await });
+}
+
 /// Dispatches the messages of a replica's listener: subscriptions and relayed announcements to the
 /// hub, bootstrap reports to the bootstrap service, all others to a fallback handler.
 pub struct HubHandler {
@@ -423,11 +469,15 @@
             Body::Subscribe(subscribe) => self.hub.subscribe(conn, call, subscribe),
             Body::FetchDocument(fetch) => self.hub.send_document(conn, call, fetch),
             Body::QuarantineReport(report) => self.hub.apply_quarantine_report(report),
-            Body::Announcement(announcement) => self.hub.apply_announcement(announcement),
+            Body::Announcement(announcement) => {
+                self.hub.apply_announcement(announcement);
+                confirm(conn, call);
+            }
             Body::PackedAnnouncements(packed) => {
-                // Damaged announcements are repeated by their endpoints.
-                let announcements = unpack_announcements(&packed).unwrap_or_default();
+                // Damaged announcements are not confirmed, so that they are sent again.
+                let Ok(announcements) = unpack_announcements(&packed) else { return };
                 announcements.into_iter().for_each(|a| self.hub.apply_announcement(a));
+                confirm(conn, call);
             }
             Body::RollCall(report) => self.bootstrap.handle_report(conn, call, report),
             other => self.fallback.on_message(conn, call, other),
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use slog::Logger;
+use snafu::Snafu;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
@@ -16,6 +17,7 @@
 
 use super::announcement_relay::relay_announcements;
 use super::bootstrap::{self, BootstrapService, REPORT_INTERVAL};
+use super::confirmations::Confirmations;
 use super::core::{Answer, Core, Input};
 use super::core_config::{CoreConfig, OnWriteError, Published};
 use super::endpoint_file;
@@ -34,7 +36,7 @@
 use crate::raft::{Raft, RaftConfig};
 use crate::tasks::{run_essential_thread, spawn_essential};
 use crate::wire::link::LinkConfig;
-use crate::wire::{Command, Document, Outcome, Replica, command};
+use crate::wire::{Announcement, Command, Document, Outcome, Replica, command};
 
 /// Delay before another attempt to open the data directory.
 const OPEN_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -42,6 +44,10 @@
 /// Upper bound of the election timeout of a replica that has not met a leader since its start.
 const MAX_STARTUP_ELECTION_TIMEOUT: Duration = Duration::from_millis(130);
 
+/// Time within which other replicas have to confirm that an endpoint leaves; endpoints call another
+/// replica after a second.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// How long a caller waits for the answer of the core.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -70,6 +76,7 @@
     pub zones: BTreeSet<String>,
     /// Number of disks that may be lost at the same time. The cluster aims at `2 * tolerance + 1`
     /// voters and keeps a document, and each drain of a zone, on at least `tolerance + 1` of them.
+    /// As many replicas know that an endpoint leaves when it gets an acknowledgement.
     pub tolerance: usize,
     /// Time without an announcement after which an endpoint counts as silent.
     pub endpoint_timeout: Duration,
@@ -84,12 +91,29 @@
     TimedOut,
 }
 
+/// Why this replica does not acknowledge what an endpoint has announced.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum AnnouncementError {
+    /// This replica knows no leader, so that entries may not follow it.
+    #[snafu(display("no leader is known here; call another replica"))]
+    NoLeader,
+    /// Too few other replicas have confirmed in time that the endpoint leaves.
+    #[snafu(display("{wanted} other replicas did not confirm in time; call another replica"))]
+    NotConfirmed {
+        /// Number of other replicas that have to know it.
+        wanted: usize,
+    },
+}
+
 /// Handle to a running replica; clones share the replica.
 #[derive(Clone)]
 pub struct ControlService {
     core: Sender<Input>,
     published: watch::Receiver<Published>,
     hub: Arc<Hub>,
+    /// Address that identifies this replica to others.
+    address: String,
+    tolerance: usize,
     /// Availability zones of the settings, with that of this host.
     pub(super) zones: BTreeSet<String>,
 }
@@ -166,16 +190,59 @@
             cx.clone(),
         );
         spawn_essential("seeds", log.clone(), updating);
+        let address = own.address.clone();
         let maintaining = maintain_membership(published.clone(), own, cfg.seeds, link, cx);
         spawn_essential("members", log, maintaining);
-        Ok(Self { core: tx, published, hub, zones })
+        Ok(Self { core: tx, published, hub, address, tolerance: cfg.tolerance, zones })
     }
 
-    /// Hub to which announcements of endpoints are passed.
-    pub fn hub(&self) -> &Hub {
+    /// Endpoints that announce themselves, as this replica knows them.
+    pub(super) fn hub(&self) -> &Hub {
         &self.hub
     }
 
+    /// Applies an announcement of an endpoint. Returns whether it may be acknowledged, see
+    /// [`AnnouncementError`].
+    ///
+    /// # Errors
+    /// The announcement may be lost with this replica, or does not reach the entries.
+    pub async fn announce(&self, announcement: Announcement) -> Result<(), AnnouncementError> {
+        match self.hub.announce(announcement) {
+            Some(confirmations) => self.await_confirmations(confirmations).await,
+            None => self.check_leader(),
+        }
+    }
+
+    /// Records that an endpoint has gone, as it says itself.
+    ///
+    /// # Errors
+    /// The departure may be lost with this replica, or does not reach the entries.
+    pub async fn depart(&self, id: &str) -> Result<(), AnnouncementError> {
+        self.await_confirmations(self.hub.depart(id)).await
+    }
+
+    /// Waits until so many other replicas know an announcement that the loss of `tolerance` of them
+    /// does not lose it.
+    async fn await_confirmations(
+        &self,
+        confirmations: Confirmations,
+    ) -> Result<(), AnnouncementError> {
+        self.check_leader()?;
+        let is_other = |replica: &&Replica| replica.address != self.address;
+        let others = self.published.borrow().replicas.iter().filter(is_other).count();
+        let wanted = self.tolerance.min(others);
+        if confirmations.wait(wanted, CONFIRM_TIMEOUT).await {
+            Ok(())
+        } else {
+            Err(AnnouncementError::NotConfirmed { wanted })
+        }
+    }
+
+    /// Entries follow replicas that know a leader.
+    fn check_leader(&self) -> Result<(), AnnouncementError> {
+        if self.published.borrow().has_leader { Ok(()) } else { Err(AnnouncementError::NoLeader) }
+    }
+
     /// State that the replica published last.
     pub fn published(&self) -> Published {
         self.published.borrow().clone()
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -147,17 +147,53 @@
         Some(changed)
     }
 
-    /// Marks an endpoint as gone after it has said so itself. `born` is the start that ended, if
-    /// known: a later start of the endpoint is not affected.
-    pub fn mark_gone(&mut self, id: &str, born: Option<u64>) -> Option<Announcement> {
-        let record = self.endpoints.get_mut(id)?;
-        let started_later = born.is_some_and(|b| record.announcement.born > b);
-        if started_later || record.announcement.standing() == Standing::Gone {
+    /// The departure that an endpoint has announced to this process. It names the start that ended,
+    /// unless the endpoint is not known here.
+    pub fn departure_of(&self, id: &str) -> Announcement {
+        let known = self.endpoints.get(id).map(|record| record.announcement.clone());
+        let mut departure =
+            known.unwrap_or_else(|| Announcement { id: id.to_owned(), ..Announcement::default() });
+        departure.set_standing(Standing::Gone);
+        departure.cold_ms = 0;
+        departure
+    }
+
+    /// Records that an endpoint has gone, as it said itself, and returns its announcement if that
+    /// changes it. A later start than the one that the departure names is not affected; without a
+    /// `born` it names the start that is known here.
+    ///
+    /// An endpoint that is not known is recorded too, so that an announcement that is still under way
+    /// does not add it.
+    pub fn record_departure(
+        &mut self,
+        now: Moment,
+        departure: Announcement,
+    ) -> Option<Announcement> {
+        let names_start = departure.born > 0;
+        let Some(record) = self.endpoints.get_mut(departure.id.as_str()) else {
+            return names_start.then(|| self.insert_departure(now, departure));
+        };
+        let known = &mut record.announcement;
+        if names_start && known.born > departure.born {
             return None;
         }
-        record.announcement.set_standing(Standing::Gone);
-        record.announcement.cold_ms = 0;
-        Some(record.announcement.clone())
+        if known.born < departure.born {
+            return Some(self.insert_departure(now, departure));
+        }
+        if known.standing() == Standing::Gone {
+            return None;
+        }
+        known.set_standing(Standing::Gone);
+        known.cold_ms = 0;
+        Some(known.clone())
+    }
+
+    fn insert_departure(&mut self, now: Moment, departure: Announcement) -> Announcement {
+        let silent_at = now + self.silence_timeout;
+        let announcement = departure.clone();
+        let record = EndpointRecord { announcement, received_at: now, silent_at };
+        self.insert(EndpointId::new(&departure.id), record);
+        departure
     }
 
     /// Marks endpoints as silent whose announcements have stopped and returns them. Removes those
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -25,7 +25,7 @@
 
 use super::document;
 use crate::control::relay::ControlRelay;
-use crate::control::service::{CallError, ControlService};
+use crate::control::service::{AnnouncementError, CallError, ControlService};
 use crate::control::zone_drains::ZoneDrainError;
 use crate::document::MAX_DOCUMENT_BYTES;
 use crate::event;
@@ -190,10 +190,12 @@
         return Ok(set_zone_drain(&service, &log, &path, &zone, drained).await);
     }
     let response = match (&head.method, path.strip_prefix(ANNOUNCE_PATH)) {
-        (&Method::PUT, Some(id)) => announce(&service, &log, id, &body),
+        (&Method::PUT, Some(id)) => announce(&service, &log, id, &body).await,
         (&Method::DELETE, Some(id)) => {
-            service.hub().mark_gone(id);
-            acknowledge(&service)
+            // If the caller has closed the connection meanwhile, the server drops this call here. It
+            // has called another replica since, and may even have started again.
+            yield_now().await;
+            acknowledge(service.depart(id).await)
         }
         (&Method::PUT, None) if path == DOCUMENT_PATH => {
             put_document(&service, &regions, &log, body).await
@@ -204,7 +206,7 @@
     Ok(response)
 }
 
-fn announce(service: &ControlService, log: &Logger, id: &str, body: &[u8]) -> HttpResponse {
+async fn announce(service: &ControlService, log: &Logger, id: &str, body: &[u8]) -> HttpResponse {
     let announcement = match decode_announcement(body) {
         Ok(announcement) => announcement,
         Err(reason) => {
@@ -217,7 +219,7 @@
         WireState::Ready => Standing::Ready,
         WireState::Draining => Standing::Draining,
     };
-    service.hub().announce(Announcement {
+    let announced = service.announce(Announcement {
         id: id.to_owned(),
         service: announcement.backend,
         address: announcement.address.to_string(),
@@ -228,7 +230,7 @@
         seq: announcement.seq,
         cold_ms: announcement.cold_left_ms.unwrap_or_default().max(0.0).ceil() as u64,
     });
-    acknowledge(service)
+    acknowledge(announced.await)
 }
 
 fn decode_announcement(body: &[u8]) -> Result<WireAnnouncement, String> {
@@ -245,13 +247,10 @@
     Ok(announcement)
 }
 
-/// Acknowledges an announcement only while a leader is known: entries follow such replicas, so the
-/// announcement reaches them.
-fn acknowledge(service: &ControlService) -> HttpResponse {
-    if service.published().has_leader {
-        json_response(Bytes::from_static(b"{}"))
-    } else {
-        unavailable("no leader is known here")
+fn acknowledge(announced: Result<(), AnnouncementError>) -> HttpResponse {
+    match announced {
+        Ok(()) => json_response(Bytes::from_static(b"{}")),
+        Err(e) => unavailable(&e.to_string()),
     }
 }
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -99,6 +99,9 @@
     /// Whether the sender reads packed announcements.
     #[prost(bool, tag = "4")]
     pub reads_packed: bool,
+    /// Whether the sender acknowledges announcements that are sent as a call.
+    #[prost(bool, tag = "5")]
+    pub confirms_announcements: bool,
 }
 /// Error reply: a frame could not be decoded or a call could not be served.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -88,13 +88,22 @@
 /// Senders to the open calls, by call id.
 type OpenCalls = Arc<Mutex<HashMap<u64, mpsc::UnboundedSender<Body>>>>;
 
+/// What the peer's build can do, from its part of the handshake; all false for the earliest builds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerAbilities {
+    /// Whether the peer reads packed announcements.
+    pub reads_packed: bool,
+    /// Whether the peer acknowledges announcements that are sent as a call.
+    pub confirms_announcements: bool,
+}
+
 /// A connection that multiplexes calls. Clones share the connection.
 #[derive(Clone)]
 pub struct Link {
     tx: mpsc::Sender<Envelope>,
     calls: OpenCalls,
     next_id: Arc<AtomicU64>,
-    peer_reads_packed: bool,
+    peer: PeerAbilities,
     cx: CancellationToken,
 }
 
@@ -127,13 +136,17 @@
             .await
             .map_err(|_| fail("no greeting".into()))?;
         let peer = check_hello(reply).map_err(fail)?;
-        Ok(Self::start(framed, cfg, peer.reads_packed, cx.child_token()))
+        let peer = PeerAbilities {
+            reads_packed: peer.reads_packed,
+            confirms_announcements: peer.confirms_announcements,
+        };
+        Ok(Self::start(framed, cfg, peer, cx.child_token()))
     }
 
     fn start(
         framed: Framed<TcpStream, EnvelopeCodec>,
         cfg: &LinkConfig,
-        peer_reads_packed: bool,
+        peer: PeerAbilities,
         cx: CancellationToken,
     ) -> Self {
         let (stream, write) = split(framed);
@@ -142,7 +155,7 @@
         let codec = EnvelopeCodec::new(cfg.max_frame);
         tokio::spawn(write_frames(write, codec, rx, cfg.keepalive_interval, cx.clone()));
         tokio::spawn(read_replies(stream, Arc::clone(&calls), cfg.idle_timeout, cx.clone()));
-        Self { tx, calls, next_id: Arc::new(AtomicU64::new(1)), peer_reads_packed, cx }
+        Self { tx, calls, next_id: Arc::new(AtomicU64::new(1)), peer, cx }
     }
 
     /// Whether the connection was lost or closed.
@@ -150,9 +163,9 @@
         self.cx.is_cancelled()
     }
 
-    /// Whether the peer reads packed announcements; false for earlier builds.
-    pub fn peer_reads_packed(&self) -> bool {
-        self.peer_reads_packed
+    /// What the peer's build can do.
+    pub fn peer(&self) -> PeerAbilities {
+        self.peer
     }
 
     /// Waits until the connection is lost or closed.
@@ -248,6 +261,7 @@
         node: cfg.node.clone(),
         role: cfg.role.clone(),
         reads_packed: true,
+        confirms_announcements: true,
     }
 }
 
--- a/tests/control_start.rs
+++ b/tests/control_start.rs
@@ -305,7 +305,7 @@
     let announcing = others.spawn(async move {
         for seq in 1..=rounds {
             for n in 0..of_replica {
-                let _ = relay.send(endpoint(n, FIRST_START, seq));
+                let _ = relay.send(endpoint(n, FIRST_START, seq).into());
                 if n % 10 == 0 {
                     sleep(ANNOUNCE_INTERVAL * 10 / of_replica as u32).await;
                 }
@@ -345,7 +345,7 @@
         CancellationToken::new(),
     ));
     for n in 0..ANNOUNCED {
-        relay.send(endpoint(n, FIRST_START, 1)).unwrap();
+        relay.send(endpoint(n, FIRST_START, 1).into()).unwrap();
     }
     let (stream, _) = listener.accept().await.unwrap();
     let mut frames = Framed::new(stream, EnvelopeCodec::new(1 << 20));
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -47,16 +47,44 @@
 fn gone_is_final_until_a_later_start() {
     let mut directory = Directory::new(ms(1000));
     directory.record(ms(0), announcement("a", ADDRESS, 5, 3, Standing::Ready));
-    assert!(directory.mark_gone("a", None).is_some());
+    let departure = directory.departure_of("a");
+    assert!(directory.record_departure(ms(0), departure.clone()).is_some());
     assert!(directory.record(ms(1), announcement("a", ADDRESS, 5, 9, Standing::Ready)).is_none());
     assert!(directory.record(ms(2), announcement("a", ADDRESS, 6, 1, Standing::Ready)).is_some());
     assert!(
-        directory.mark_gone("a", Some(5)).is_none(),
+        directory.record_departure(ms(3), departure).is_none(),
         "a relayed departure of the earlier start"
     );
     assert_eq!(directory.announcements(ms(0))[0].standing(), Standing::Ready);
 }
 
+/// Guards against an announcement that was under way when its endpoint left: it added the endpoint on
+/// replicas that had not heard of it before.
+#[test]
+fn a_departure_of_an_unknown_endpoint_holds_against_its_late_announcements() {
+    let mut directory = Directory::new(ms(1000));
+    let departure = announcement("a", ADDRESS, 5, 3, Standing::Gone);
+    assert!(directory.record_departure(ms(0), departure.clone()).is_some());
+    assert!(directory.record(ms(1), announcement("a", ADDRESS, 5, 3, Standing::Ready)).is_none());
+    assert!(directory.record(ms(2), announcement("a", ADDRESS, 6, 1, Standing::Ready)).is_some());
+    let later = announcement("a", ADDRESS, 7, 2, Standing::Gone);
+    assert!(directory.record_departure(ms(3), later).is_some(), "a start that was not known here");
+    assert!(directory.record(ms(4), announcement("a", ADDRESS, 7, 2, Standing::Ready)).is_none());
+    assert!(directory.record_departure(ms(5), departure).is_none(), "of an earlier start");
+}
+
+/// Guards against a departure that ends nothing because the replica that got it did not know the
+/// start of its endpoint.
+#[test]
+fn a_departure_without_a_start_ends_the_one_that_is_known() {
+    let mut directory = Directory::new(ms(1000));
+    let unnamed = Directory::default().departure_of("a");
+    assert!(directory.record_departure(ms(0), unnamed.clone()).is_none(), "nothing to end");
+    directory.record(ms(0), announcement("a", ADDRESS, 5, 3, Standing::Ready));
+    let gone = directory.record_departure(ms(1), unnamed).unwrap();
+    assert_eq!((gone.standing(), gone.born), (Standing::Gone, 5));
+}
+
 #[test]
 fn address_belongs_to_the_latest_start() {
     let mut directory = Directory::new(ms(1000));
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! with simulated servers, callers and operators.
 
 mod cold;
+mod departures;
 mod deployment;
 mod evidence;
 mod helpers;
--- a/tests/platform/servers.rs
+++ b/tests/platform/servers.rs
@@ -309,15 +309,7 @@
                 });
             }
         }));
-        let announcer = Announcer {
-            id: server.id.clone(),
-            service,
-            addr,
-            started_ms,
-            state: server.state.clone(),
-            seq: server.seq.clone(),
-            cold_until: server.cold_until.clone(),
-        };
+        let announcer = server.announcer();
         server.tasks.push(tokio::spawn(async move {
             loop {
                 for control in &control {
@@ -331,6 +323,18 @@
         server
     }
 
+    fn announcer(&self) -> Announcer {
+        Announcer {
+            id: self.id.clone(),
+            service: self.service,
+            addr: self.addr,
+            started_ms: self.started_ms,
+            state: self.state.clone(),
+            seq: self.seq.clone(),
+            cold_until: self.cold_until.clone(),
+        }
+    }
+
     pub fn set(&self, mode: ServerMode) {
         self.state.lock().0 = mode;
     }
@@ -348,15 +352,7 @@
     /// Announces that the server drains, and returns once control acknowledges it.
     pub async fn drain(&self, control: &[SocketAddr]) {
         self.state.lock().1 = "draining";
-        let announcer = Announcer {
-            id: self.id.clone(),
-            service: self.service,
-            addr: self.addr,
-            started_ms: self.started_ms,
-            state: self.state.clone(),
-            seq: self.seq.clone(),
-            cold_until: self.cold_until.clone(),
-        };
+        let announcer = self.announcer();
         loop {
             for addr in control {
                 if announcer.send(*addr).await == Some(200) {
@@ -366,6 +362,24 @@
         }
     }
 
+    /// Stops the announcements; the server goes on to respond.
+    pub fn stop_announcing(&self) {
+        self.tasks[1].abort();
+    }
+
+    /// Tells one replica that the server is gone, and returns the status of the response.
+    pub async fn depart(&self, control: SocketAddr) -> Option<u16> {
+        let path = format!("/api/instances/{}", self.id);
+        let req = Request::delete(path).body(Full::default()).unwrap();
+        call(control, req).await.ok().map(|a| a.status().as_u16())
+    }
+
+    /// Announces to one replica that the server drains, and returns the status of the response.
+    pub async fn announce_drain(&self, control: SocketAddr) -> Option<u16> {
+        self.state.lock().1 = "draining";
+        self.announcer().send(control).await
+    }
+
     /// Waits until a request crashes the server.
     pub async fn crashed(&self) {
         self.crashed.notified().await;
@@ -404,6 +418,9 @@
 }
 
 /// Sends announcements of one server.
+/// Time that a server gives one replica to acknowledge an announcement.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 struct Announcer {
     id: String,
     service: &'static str,
@@ -427,7 +444,8 @@
         let req = Request::put(format!("/api/instances/{}", self.id))
             .body(Full::new(Bytes::from(body.to_string())))
             .unwrap();
-        call(control, req).await.ok().map(|a| a.status().as_u16())
+        let answer = tokio::time::timeout(CALL_TIMEOUT, call(control, req)).await.ok()?;
+        answer.ok().map(|a| a.status().as_u16())
     }
 }
 
