Refuse requests that become whole late in a planned stop

Callers saw (reported by another operator, shown here): in a planned stop, a booking whose body was still on its way at the signal was passed on late in the grace period and cut at its end, with no answer.

Cause: an entry checked whether it closes before it read the body, and not after that. Ruled out: new requests late in the grace period, and requests that wait for their turn.

Change: a gateway that closes refuses a request before it sends it, unless an attempt may have run; the entry of the own interface checks its drain again when the body is complete.

--- a/src/entry/filter/mod.rs
+++ b/src/entry/filter/mod.rs
@@ -57,9 +57,10 @@
     vec![Box::new(Ready), Box::new(Authenticate)]
 }
 
-/// Builds the filters that need the parsed body.
+/// Builds the filters that need the parsed body. The entry may have begun to drain while the body
+/// arrived.
 pub fn build_body_filters() -> FilterChain {
-    vec![Box::new(KnownTarget), Box::new(PromptSize), Box::new(WithinLimits)]
+    vec![Box::new(Ready), Box::new(KnownTarget), Box::new(PromptSize), Box::new(WithinLimits)]
 }
 
 /// Runs the filters of a chain up to the first failure.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -80,6 +80,11 @@
         if boot_now() >= req.deadline {
             return failed.unwrap_or_else(|| req.fail("deadline passed"));
         }
+        // What is sent so late in the grace period may be cut off at its end.
+        if req.gateway.closing.is_cancelled() && !req.may_have_run {
+            let after = default_retry_after(&req.caller);
+            return failed.unwrap_or_else(|| req.refuse("this process is ending", after));
+        }
         let placement = match req.choose_in_turn().await {
             Choice::Placed(placement) => *placement,
             Choice::NoEndpoint => {
--- a/tests/guarantees.rs
+++ b/tests/guarantees.rs
@@ -2,9 +2,11 @@
 
 mod testenv;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use testenv::{SystemConfig, TestEnv, check_tokens, run, streamed_text};
+use testenv::{KEY, SystemConfig, TestEnv, check_tokens, run, streamed_text};
 
 #[test]
 fn a_prompt_gets_the_same_answer_with_and_without_streaming() {
@@ -397,6 +399,29 @@
     assert!(!seen.contains(&200), "ready again during the drain");
 }
 
+/// Guards against a booking whose body is still on its way when the entry is told to stop: it was passed
+/// on while the entry drained, and cut off at the end of that time.
+#[test]
+fn a_booking_that_is_whole_only_during_the_drain_is_refused_unrun() {
+    let env = TestEnv::start(SystemConfig { deadline_ms: 20_000, ..SystemConfig::default() });
+    let mut stream = TcpStream::connect(env.entries[0].address("callers")).unwrap();
+    let head = format!(
+        "POST /services/orders/book HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {KEY}\r\n\
+         Idempotency-Key: late\r\nConnection: close\r\nContent-Length: 20\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    env.entries[0].signal(nix::sys::signal::Signal::SIGTERM);
+    for _ in 0..20 {
+        stream.write_all(b"x").unwrap();
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("bitternlead-outcome: not-run"), "{answer}");
+}
+
 #[test]
 fn an_old_agent_that_resumes_after_its_replacement_started_is_fenced() {
     let env = TestEnv::start(SystemConfig { agents: 1, ..SystemConfig::default() });
