Test broken responses at every byte, and full disks in turn

A head without its empty line is never taken for a response, since the HTTP library reports the connection as ended within a message.

--- a/tests/engine_status.rs
+++ b/tests/engine_status.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use bitternlead::engine::http_engine::HttpEngine;
-use bitternlead::engine::{CallError, Engine, GenerateRequest};
+use bitternlead::engine::http_service::HttpService;
+use bitternlead::engine::{CallError, Engine, GenerateRequest, PlainService, ServiceCall};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -60,3 +61,39 @@
         }
     }
 }
+
+/// Starts an engine or service that closes the connection after the first `cut_at` bytes of a response.
+async fn start_cut(response: &'static str, cut_at: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            let _ = stream.read(&mut buf).await;
+            let _ = stream.write_all(&response.as_bytes()[..cut_at]).await;
+        }
+    });
+    addr
+}
+
+/// Guards against a response that breaks off in its head or body and counts as a whole one, of a plain
+/// service and of an engine.
+#[tokio::test]
+async fn a_response_that_breaks_off_anywhere_is_interrupted() {
+    let response = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\nhello";
+    for cut_at in 0..response.len() {
+        let service = HttpService::new(start_cut(response, cut_at).await);
+        let call = ServiceCall {
+            method: "POST".into(),
+            path: "/book".into(),
+            content_type: "text/plain".into(),
+            idempotency_key: "k".into(),
+            body: "x".into(),
+        };
+        let answer = service.call(call).await;
+        assert!(matches!(answer, Err(CallError::Interrupted { .. })), "byte {cut_at}: {answer:?}");
+        let engine = HttpEngine::new(start_cut(response, cut_at).await);
+        let prefill = engine.prefill(completion_request()).await;
+        assert!(matches!(prefill, Err(CallError::Interrupted { .. })), "byte {cut_at}");
+    }
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,9 +1,11 @@
 //! End-to-end tests of the `platform` commands: real processes of the system on loopback addresses,
 //! with simulated servers, callers and operators.
 
+mod broken_heads;
 mod cold;
 mod departures;
 mod deployment;
+mod disks;
 mod evidence;
 mod foreign_announcements;
 mod helpers;
