Bound the wait for an idle connection

Cause: the wait for the connection to become ready had no time limit; it ends only when the server has read the rest of the long order.

Change: an idle connection that is not ready within 50 ms is closed and another one is used. Nothing of the request was sent by then.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -24,6 +24,10 @@
 /// Maximum number of idle connections to try before opening a new one.
 const MAX_IDLE_ATTEMPTS: usize = 3;
 
+/// Time that an idle connection has to become ready for a request. One whose endpoint has responded
+/// before it has read the whole previous request is not ready until it has read the rest.
+const READY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A request in the form that is sent to an endpoint.
 #[derive(Clone, Debug)]
 pub struct OutgoingRequest {
@@ -145,7 +149,8 @@
     id: &str,
     limit: Duration,
 ) -> Result<SendOutcome, Request<Full<Bytes>>> {
-    if conn.sender.ready().await.is_err() {
+    let is_ready = timeout(READY_TIMEOUT.min(limit), conn.sender.ready()).await;
+    if !matches!(is_ready, Ok(Ok(()))) {
         return Err(req);
     }
     let (endpoint, in_flight) = (&placement.endpoint.id, &placement.in_flight);
--- a/tests/platform/raw_server.rs
+++ b/tests/platform/raw_server.rs
@@ -66,7 +66,8 @@
     }
 }
 
-async fn announce(service: &'static str, addr: SocketAddr, control: SocketAddr) {
+/// Announces a server to a replica of control every 300 ms.
+pub async fn announce(service: &'static str, addr: SocketAddr, control: SocketAddr) {
     let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
     for seq in 1.. {
         let body = json!({
