--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -9,28 +9,23 @@
 use slog::Logger;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::task::spawn_blocking;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use super::announcement_relay::RelayedAnnouncement;
-use super::bootstrap::BootstrapService;
-use super::confirmations::Confirmations;
 use super::core_config::Published;
+use super::hub_announcements::Origin;
 use super::hub_subscribers::{Broadcast, EndpointList, Subscriber, load_addresses};
-use super::packing::unpack_announcements;
 use super::recent_documents::RecentDocuments;
 use crate::clock::boot_now;
-use crate::directory::{Directory, Recorded};
+use crate::directory::Directory;
 use crate::document::UnpackError;
-use crate::event;
 use crate::ids::Moment;
 use crate::quarantine::Quarantine;
 use crate::wire::envelope::Body;
-use crate::wire::server::{Conn, Handler};
+use crate::wire::server::Conn;
 use crate::wire::{
-    Ack, Announcement, Document, DocumentPart, FetchDocument, News, QuarantineReport, Standing,
-    Subscribe,
+    Announcement, Document, DocumentPart, FetchDocument, News, QuarantineReport, Subscribe,
 };
 
 /// Interval between two checks for endpoints that have become silent.
@@ -61,39 +56,15 @@
 /// announce itself.
 const RESTORED_SILENCE_SHARE: f64 = 0.6;
 
-/// On whose word the state of an endpoint changed.
-#[derive(Clone, Copy, Debug)]
-enum Origin {
-    /// The endpoint called this replica.
-    Endpoint,
-    /// Another replica relayed what the endpoint said.
-    Replica,
-    /// Nothing was heard of the endpoint.
-    Silence,
-    /// A document names its service.
-    Document,
-}
-
-impl Origin {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Endpoint => "endpoint",
-            Self::Replica => "replica",
-            Self::Silence => "silence",
-            Self::Document => "document",
-        }
-    }
-}
-
 #[derive(Default)]
-struct Inner {
-    directory: Directory,
-    quarantine: Quarantine,
-    subscribers: BTreeMap<u64, Subscriber>,
-    recent: RecentDocuments,
+pub(super) struct Inner {
+    pub(super) directory: Directory,
+    pub(super) quarantine: Quarantine,
+    pub(super) subscribers: BTreeMap<u64, Subscriber>,
+    pub(super) recent: RecentDocuments,
     /// Endpoints that changed and were not sent to subscribers yet.
-    changed_endpoints: HashMap<String, Announcement>,
-    endpoint_list: Option<EndpointList>,
+    pub(super) changed_endpoints: HashMap<String, Announcement>,
+    pub(super) endpoint_list: Option<EndpointList>,
 }
 
 impl Inner {
@@ -137,15 +108,15 @@
 
 /// Endpoint directory and subscribers of one control replica.
 pub struct Hub {
-    inner: Mutex<Inner>,
+    pub(super) inner: Mutex<Inner>,
     published: watch::Receiver<Published>,
-    relay: mpsc::UnboundedSender<RelayedAnnouncement>,
-    endpoints_changed: Notify,
-    endpoints_to_send: Notify,
+    pub(super) relay: mpsc::UnboundedSender<RelayedAnnouncement>,
+    pub(super) endpoints_changed: Notify,
+    pub(super) endpoints_to_send: Notify,
     quarantine_changed: Notify,
     load_addresses_changed: Notify,
-    services: Option<ServiceReader>,
-    log: Logger,
+    pub(super) services: Option<ServiceReader>,
+    pub(super) log: Logger,
 }
 
 impl Hub {
@@ -214,109 +185,6 @@
         inner.subscribers.values().for_each(|subscriber| update.send_to(subscriber));
     }
 
-    /// Applies an announcement that an endpoint sent to this replica and relays it.
-    ///
-    /// Returns the confirmations of other replicas that the endpoint leaves; `None` if it does not.
-    pub fn announce(&self, mut announcement: Announcement) -> Option<Confirmations> {
-        announcement.revivals = self.inner.lock().directory.revivals(&announcement.id);
-        let leaves = announcement.standing() == Standing::Draining;
-        let (confirm, confirmations) = leaves.then(Confirmations::channel).unzip();
-        let _ =
-            self.relay.send(RelayedAnnouncement { announcement: announcement.clone(), confirm });
-        self.apply(announcement, Origin::Endpoint);
-        confirmations
-    }
-
-    /// Marks an endpoint as gone on its own request, logs and publishes that, and relays it. Returns
-    /// the confirmations of other replicas.
-    ///
-    /// An endpoint that this replica does not know may be known to others.
-    pub fn depart(&self, id: &str) -> Confirmations {
-        let announcement = self.inner.lock().directory.departure_of(id);
-        let (confirm, confirmations) = Confirmations::channel();
-        let confirm = Some(confirm);
-        let _ =
-            self.relay.send(RelayedAnnouncement { announcement: announcement.clone(), confirm });
-        self.apply(announcement, Origin::Endpoint);
-        confirmations
-    }
-
-    /// Applies an announcement that another replica relayed and publishes what changed.
-    pub fn apply_announcement(&self, announcement: Announcement) {
-        self.apply(announcement, Origin::Replica);
-    }
-
-    fn apply(&self, announcement: Announcement, origin: Origin) {
-        let now = boot_now();
-        if announcement.standing() == Standing::Gone {
-            let gone = self.inner.lock().directory.record_departure(now, announcement);
-            if let Some(gone) = gone {
-                self.publish(vec![gone], origin);
-            }
-            return;
-        }
-        let recorded = self.inner.lock().directory.record(now, announcement.clone());
-        self.log_recorded(&announcement, &recorded);
-        if let Some(changed) = recorded.changed() {
-            self.publish(vec![changed], origin);
-        }
-    }
-
-    /// Logs what became of an announcement that is not simply a change.
-    fn log_recorded(&self, announcement: &Announcement, recorded: &Recorded) {
-        let Announcement { id, service, address, born, seq, .. } = announcement;
-        match recorded {
-            Recorded::RuledOut => event!(self.log, AnnouncementRuledOut, "endpoint" => id,
-                "service" => service, "address" => address, "born" => born, "seq" => seq),
-            Recorded::Revived(revived) => event!(self.log, EndpointRevived, "endpoint" => id,
-                "service" => service, "address" => address, "born" => born, "seq" => seq,
-                "revivals" => revived.revivals),
-            Recorded::Held => event!(self.log, ServiceUnknown, "endpoint" => id,
-                "service" => service, "address" => address, "born" => born, "seq" => seq),
-            Recorded::Unchanged | Recorded::Changed(_) => {}
-        }
-    }
-
-    /// Uses the endpoints of the services that a document names.
-    async fn apply_services(&self, document: &Document) {
-        let Some(reader) = self.services.clone() else { return };
-        let document = document.clone();
-        let version = document.version;
-        // A large document takes long to read.
-        let names = spawn_blocking(move || reader(&document)).await;
-        let Ok(Some(names)) = names else {
-            event!(self.log, ConfigUnreadable, "version" => version, "from" => "log",
-                "findings" => "the services could not be read");
-            return;
-        };
-        let changed = self.inner.lock().directory.set_services(boot_now(), names);
-        if !changed.is_empty() {
-            self.publish(changed, Origin::Document);
-        }
-    }
-
-    /// Logs changed endpoints, and lets them be sent to all subscribers.
-    fn publish(&self, announcements: Vec<Announcement>, origin: Origin) {
-        for announcement in &announcements {
-            let standing = announcement.standing().as_str_name();
-            event!(self.log, EndpointStateChanged, "endpoint" => &announcement.id,
-                "service" => &announcement.service, "address" => &announcement.address,
-                "standing" => standing, "by" => origin.as_str(),
-                "born" => announcement.born, "seq" => announcement.seq,
-                "cold_ms" => announcement.cold_ms);
-        }
-        self.endpoints_changed.notify_one();
-        let changed = announcements.into_iter().map(|a| (a.id.clone(), a));
-        let changed: HashMap<String, Announcement> = changed.collect();
-        let mut inner = self.inner.lock();
-        if let Some(list) = &mut inner.endpoint_list {
-            list.changed.extend(changed.clone());
-        }
-        inner.changed_endpoints.extend(changed);
-        drop(inner);
-        self.endpoints_to_send.notify_one();
-    }
-
     /// Sends changed endpoints to all subscribers, those of [`ENDPOINTS_DELAY`] together, until
     /// cancelled.
     async fn send_endpoints(self: Arc<Self>, cx: CancellationToken) {
@@ -405,7 +273,7 @@
     }
 
     /// Answers a subscriber that fetches the document.
-    fn send_document(&self, conn: &Conn, call: u64, fetch: FetchDocument) {
+    pub(super) fn send_document(&self, conn: &Conn, call: u64, fetch: FetchDocument) {
         let published = self.published.borrow().clone();
         let recent = self.inner.lock().recent.find(fetch.version).cloned();
         let document = recent.unwrap_or(published.document);
@@ -515,50 +383,3 @@
         }
     }
 }
-
-/// Confirms announcements that were sent as a call; others have the number 0.
-fn confirm(conn: &Conn, call: u64) {
-    if call == 0 {
-        return;
-    }
-    let conn = conn.clone();
-    tokio::spawn(async move { conn.send(call, Body::Ack(Ack {})).await });
-}
-
-/// Dispatches the messages of a replica's listener: subscriptions and relayed announcements to the
-/// hub, bootstrap reports to the bootstrap service, all others to a fallback handler.
-pub struct HubHandler {
-    /// Handles subscriptions and announcements that other replicas relay.
-    pub hub: Arc<Hub>,
-    /// Handles the reports of replicas when the whole system starts for the first time.
-    pub bootstrap: BootstrapService,
-    /// Handles all other messages.
-    pub fallback: Arc<dyn Handler>,
-}
-
-impl Handler for HubHandler {
-    fn on_message(&self, conn: &Conn, call: u64, body: Body) {
-        match body {
-            Body::Subscribe(subscribe) => self.hub.subscribe(conn, call, subscribe),
-            Body::FetchDocument(fetch) => self.hub.send_document(conn, call, fetch),
-            Body::QuarantineReport(report) => self.hub.apply_quarantine_report(report),
-            Body::Announcement(announcement) => {
-                self.hub.apply_announcement(announcement);
-                confirm(conn, call);
-            }
-            Body::PackedAnnouncements(packed) => {
-                // Damaged announcements are not confirmed, so that they are sent again.
-                let Ok(announcements) = unpack_announcements(&packed) else { return };
-                announcements.into_iter().for_each(|a| self.hub.apply_announcement(a));
-                confirm(conn, call);
-            }
-            Body::RollCall(report) => self.bootstrap.handle_report(conn, call, report),
-            other => self.fallback.on_message(conn, call, other),
-        }
-    }
-
-    fn on_closed(&self, conn: &Conn) {
-        self.hub.unsubscribe(conn);
-        self.fallback.on_closed(conn);
-    }
-}
--- /dev/null
+++ b/src/control/hub_announcements.rs
@@ -0,0 +1,142 @@
+//! Endpoints of a control replica: what they, other replicas and documents say of them.
+
+use std::collections::HashMap;
+
+use tokio::task::spawn_blocking;
+
+use super::announcement_relay::RelayedAnnouncement;
+use super::confirmations::Confirmations;
+use super::hub::Hub;
+use crate::clock::boot_now;
+use crate::directory::Recorded;
+use crate::event;
+use crate::wire::{Announcement, Document, Standing};
+
+/// On whose word the state of an endpoint changed.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Origin {
+    /// The endpoint called this replica.
+    Endpoint,
+    /// Another replica relayed what the endpoint said.
+    Replica,
+    /// Nothing was heard of the endpoint.
+    Silence,
+    /// A document names its service.
+    Document,
+}
+
+impl Origin {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Endpoint => "endpoint",
+            Self::Replica => "replica",
+            Self::Silence => "silence",
+            Self::Document => "document",
+        }
+    }
+}
+
+impl Hub {
+    /// Applies an announcement that an endpoint sent to this replica and relays it.
+    ///
+    /// Returns the confirmations of other replicas that the endpoint leaves; `None` if it does not.
+    pub fn announce(&self, mut announcement: Announcement) -> Option<Confirmations> {
+        announcement.revivals = self.inner.lock().directory.revivals(&announcement.id);
+        let leaves = announcement.standing() == Standing::Draining;
+        let (confirm, confirmations) = leaves.then(Confirmations::channel).unzip();
+        let _ =
+            self.relay.send(RelayedAnnouncement { announcement: announcement.clone(), confirm });
+        self.apply(announcement, Origin::Endpoint);
+        confirmations
+    }
+
+    /// Marks an endpoint as gone on its own request, logs and publishes that, and relays it. Returns
+    /// the confirmations of other replicas.
+    ///
+    /// An endpoint that this replica does not know may be known to others.
+    pub fn depart(&self, id: &str) -> Confirmations {
+        let announcement = self.inner.lock().directory.departure_of(id);
+        let (confirm, confirmations) = Confirmations::channel();
+        let confirm = Some(confirm);
+        let _ =
+            self.relay.send(RelayedAnnouncement { announcement: announcement.clone(), confirm });
+        self.apply(announcement, Origin::Endpoint);
+        confirmations
+    }
+
+    /// Applies an announcement that another replica relayed and publishes what changed.
+    pub fn apply_announcement(&self, announcement: Announcement) {
+        self.apply(announcement, Origin::Replica);
+    }
+
+    fn apply(&self, announcement: Announcement, origin: Origin) {
+        let now = boot_now();
+        if announcement.standing() == Standing::Gone {
+            let gone = self.inner.lock().directory.record_departure(now, announcement);
+            if let Some(gone) = gone {
+                self.publish(vec![gone], origin);
+            }
+            return;
+        }
+        let recorded = self.inner.lock().directory.record(now, announcement.clone());
+        self.log_recorded(&announcement, &recorded);
+        if let Some(changed) = recorded.changed() {
+            self.publish(vec![changed], origin);
+        }
+    }
+
+    /// Logs what became of an announcement that is not simply a change.
+    fn log_recorded(&self, announcement: &Announcement, recorded: &Recorded) {
+        let Announcement { id, service, address, born, seq, .. } = announcement;
+        match recorded {
+            Recorded::RuledOut => event!(self.log, AnnouncementRuledOut, "endpoint" => id,
+                "service" => service, "address" => address, "born" => born, "seq" => seq),
+            Recorded::Revived(revived) => event!(self.log, EndpointRevived, "endpoint" => id,
+                "service" => service, "address" => address, "born" => born, "seq" => seq,
+                "revivals" => revived.revivals),
+            Recorded::Held => event!(self.log, ServiceUnknown, "endpoint" => id,
+                "service" => service, "address" => address, "born" => born, "seq" => seq),
+            Recorded::Unchanged | Recorded::Changed(_) => {}
+        }
+    }
+
+    /// Uses the endpoints of the services that a document names.
+    pub(super) async fn apply_services(&self, document: &Document) {
+        let Some(reader) = self.services.clone() else { return };
+        let document = document.clone();
+        let version = document.version;
+        // A large document takes long to read.
+        let names = spawn_blocking(move || reader(&document)).await;
+        let Ok(Some(names)) = names else {
+            event!(self.log, ConfigUnreadable, "version" => version, "from" => "log",
+                "findings" => "the services could not be read");
+            return;
+        };
+        let changed = self.inner.lock().directory.set_services(boot_now(), names);
+        if !changed.is_empty() {
+            self.publish(changed, Origin::Document);
+        }
+    }
+
+    /// Logs changed endpoints, and lets them be sent to all subscribers.
+    pub(super) fn publish(&self, announcements: Vec<Announcement>, origin: Origin) {
+        for announcement in &announcements {
+            let standing = announcement.standing().as_str_name();
+            event!(self.log, EndpointStateChanged, "endpoint" => &announcement.id,
+                "service" => &announcement.service, "address" => &announcement.address,
+                "standing" => standing, "by" => origin.as_str(),
+                "born" => announcement.born, "seq" => announcement.seq,
+                "cold_ms" => announcement.cold_ms);
+        }
+        self.endpoints_changed.notify_one();
+        let changed = announcements.into_iter().map(|a| (a.id.clone(), a));
+        let changed: HashMap<String, Announcement> = changed.collect();
+        let mut inner = self.inner.lock();
+        if let Some(list) = &mut inner.endpoint_list {
+            list.changed.extend(changed.clone());
+        }
+        inner.changed_endpoints.extend(changed);
+        drop(inner);
+        self.endpoints_to_send.notify_one();
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,6 +14,8 @@
 pub mod endpoint_file;
 mod hint_file;
 pub mod hub;
+mod hub_announcements;
+pub mod hub_handler;
 mod hub_subscribers;
 pub mod joining;
 pub mod log_file;
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -6,7 +6,8 @@
 
 use bitternlead::control::bootstrap::BootstrapService;
 use bitternlead::control::core_config::Published;
-use bitternlead::control::hub::{Hub, HubHandler, HubSettings};
+use bitternlead::control::hub::{Hub, HubSettings};
+use bitternlead::control::hub_handler::HubHandler;
 use bitternlead::control::packing::unpack_update;
 use bitternlead::control::service::build_link_config;
 use bitternlead::events::discarding_logger;
--- a/tests/thin_links.rs
+++ b/tests/thin_links.rs
@@ -7,7 +7,8 @@
 
 use bitternlead::control::bootstrap::BootstrapService;
 use bitternlead::control::core_config::Published;
-use bitternlead::control::hub::{Hub, HubHandler, HubSettings};
+use bitternlead::control::hub::{Hub, HubSettings};
+use bitternlead::control::hub_handler::HubHandler;
 use bitternlead::control::subscriber::{ReplicaSubscriber, UpdateListener};
 use bitternlead::events::discarding_logger;
 use bitternlead::wire::envelope::Body;
