Play lost departures and false announcements in the soak

A server leaves and the replica that acknowledged it is killed at once; another writer announces a service that does not exist at a server's address. The new check has a test that shows it bites.

--- a/tests/soak/bites.rs
+++ b/tests/soak/bites.rs
@@ -119,6 +119,19 @@
     assert!(checks::check_drains(&history, &arrival(1500)).is_empty());
 }
 
+#[test]
+fn a_request_at_a_server_whose_departure_was_lost_is_found() {
+    let (history, at) = (History::default(), start());
+    history.departures.lock().push(("order-1".into(), Target::Control(0), at));
+    history.disturb(Target::Control(0), true);
+    let arrival = |after| [run("r-1", "order-1", at + Duration::from_millis(after))];
+    assert_eq!(checks::check_departures(&history, &arrival(900)).len(), 1);
+    assert!(checks::check_departures(&history, &arrival(500)).is_empty());
+    history.disturb(Target::Control(1), true);
+    let later = [run("r-1", "order-1", Instant::now() + seconds(1))];
+    assert!(checks::check_departures(&history, &later).is_empty(), "two replicas were disturbed");
+}
+
 #[test]
 fn a_cold_server_with_too_many_requests_in_a_second_is_found() {
     let (history, at) = (History::default(), start());
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -13,6 +13,10 @@
 /// Time after an acknowledgement from which a leaving server gets nothing.
 pub const DRAIN_LIMIT: Duration = Duration::from_millis(2000);
 
+/// Time after the acknowledgement from which a server gets nothing that is gone, though the replica that
+/// acknowledged it was killed: less than until it counts as silent.
+pub const DEPARTURE_LIMIT: Duration = Duration::from_millis(700);
+
 /// Time after the caller has left within which its server is told.
 pub const LEAVE_LIMIT: Duration = Duration::from_millis(500);
 
@@ -63,6 +67,7 @@
     findings.extend(check_final_in_time(history, &outcomes));
     findings.extend(check_leaving(history, &outcomes, &runs, &disconnects));
     findings.extend(check_drains(history, &runs));
+    findings.extend(check_departures(history, &runs));
     findings.extend(check_cold(history, &runs));
     findings.extend(check_zone_drains(history, &runs));
     findings.extend(check_configuration(history));
@@ -211,6 +216,21 @@
     findings
 }
 
+/// A departure outlives the replica that acknowledged it.
+pub fn check_departures(history: &History, runs: &[Run]) -> Vec<String> {
+    let mut findings = Vec::new();
+    for (server, killed, acked_at) in history.departures.lock().iter() {
+        for run in runs.iter().filter(|r| r.server == *server) {
+            let is_late = run.at > *acked_at + DEPARTURE_LIMIT;
+            if is_late && history.was_calm_but_for(*killed, *acked_at, run.at) {
+                let after = run.at - *acked_at;
+                findings.push(format!("departure: {server} got {} after {after:?}", run.request));
+            }
+        }
+    }
+    findings
+}
+
 /// Entries that requests were sent to, by request.
 fn entries_by_request(outcomes: &[Outcome]) -> HashMap<&str, usize> {
     outcomes.iter().map(|o| (o.id.as_str(), o.entry)).collect()
--- a/tests/soak/conductor.rs
+++ b/tests/soak/conductor.rs
@@ -3,13 +3,17 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures::FutureExt;
+use http_body_util::Full;
+use hyper::Request;
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use tokio::time::sleep;
 
-use crate::deployment::{Deployment, Process};
+use crate::deployment::{Deployment, Process, call};
 use crate::history::{History, Target};
 use crate::servers::{Records, Server, ServerMode};
 
@@ -230,7 +234,7 @@
             return;
         }
         let now = Instant::now();
-        match self.rng.random_range(0..12) {
+        match self.rng.random_range(0..14) {
             8 if service == "engines" => {
                 self.history.count("cold again");
                 let from = now + COLD_NEWS_TIME;
@@ -255,6 +259,14 @@
                 self.start_server(service).await;
                 self.undo.push((now + DRAIN_TIME, Undo::Replace(id)));
             }
+            12 => {
+                if let Some(acked) = self.depart_and_kill(at).await {
+                    self.history.departures.lock().push(acked);
+                }
+                self.start_server(service).await;
+                self.undo.push((Instant::now() + DRAIN_TIME, Undo::Replace(id)));
+            }
+            13 => self.announce_falsely(at).await,
             2 => {
                 self.history.count("server crash");
                 self.servers.remove(at).crash();
@@ -291,6 +303,45 @@
         }
     }
 
+    /// Lets a server say that it is gone, and kills the replica that has acknowledged that.
+    async fn depart_and_kill(&mut self, at: usize) -> Option<(String, Target, Instant)> {
+        let replica = self.rng.random_range(0..self.nodes.controls.len());
+        let target = Target::Control(replica);
+        let is_calm =
+            !(0..self.nodes.controls.len()).any(|c| self.is_disturbed(Target::Control(c)));
+        let control = self.nodes.operators_address(replica);
+        let server = &self.servers[at];
+        server.stop_announcing();
+        let departure = tokio::time::timeout(Duration::from_secs(1), server.depart(control));
+        let is_acked = departure.await == Ok(Some(200));
+        if !is_acked || !is_calm {
+            return None;
+        }
+        let acked_at = Instant::now();
+        self.history.count("departure and kill");
+        let index = self.history.disturb(target, true);
+        self.process(target).kill();
+        let after = Duration::from_millis(self.rng.random_range(1200..3000));
+        self.undo.push((Instant::now() + after, Undo::Start(target, index)));
+        Some((self.servers[at].id.clone(), target, acked_at))
+    }
+
+    /// Announces, in the name of another process, a service that does not exist at a server's address.
+    async fn announce_falsely(&mut self, at: usize) {
+        self.history.count("false announcement");
+        let body = json!({
+            "Backend": "no-such-service", "Address": self.servers[at].addr.to_string(),
+            "Zone": "zone-a", "Version": "v1", "Slots": 16, "State": "ready", "ColdLeftMs": 0,
+            "Seq": 1, "born": u32::MAX as u64 * 1000,
+        });
+        let replica = self.rng.random_range(0..self.nodes.controls.len());
+        let path = format!("/api/instances/other-writer-{at}");
+        let req = Request::put(path).body(Full::new(Bytes::from(body.to_string()))).unwrap();
+        let announced = call(self.nodes.operators_address(replica), req);
+        // A replica that is down or frozen does not answer.
+        let _ = tokio::time::timeout(Duration::from_millis(200), announced).await;
+    }
+
     async fn undo_until(&mut self, now: Instant) {
         let mut at = 0;
         while at < self.undo.len() {
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -114,6 +114,9 @@
     pub disturbances: Mutex<Vec<Disturbance>>,
     /// Servers that said that they leave, and when that was acknowledged.
     pub drains: Mutex<Vec<(String, Instant)>>,
+    /// Servers that said that they are gone to a replica that was killed at once, and when that was
+    /// acknowledged.
+    pub departures: Mutex<Vec<(String, Target, Instant)>>,
     /// Servers that named a limit, from when, and until when.
     pub limits: Mutex<Vec<(String, f64, Instant, Instant)>>,
     /// Servers that were cold, from when, and until when.
@@ -146,12 +149,28 @@
     /// Whether no control replica and not this entry, or with `None` no entry at all, was disturbed
     /// from a contact time before `from` until `to`.
     pub fn was_calm(&self, entry: Option<usize>, from: Instant, to: Instant) -> bool {
+        let concerns = |target| match target {
+            Target::Control(_) => true,
+            Target::Entry(at) => entry.is_none_or(|wanted| wanted == at),
+        };
+        self.was_undisturbed(concerns, from, to)
+    }
+
+    /// Whether nothing but one process was disturbed from a contact time before `from` until `to`.
+    pub fn was_calm_but_for(&self, target: Target, from: Instant, to: Instant) -> bool {
+        self.was_undisturbed(|other| other != target, from, to)
+    }
+
+    fn was_undisturbed(
+        &self,
+        concerns: impl Fn(Target) -> bool,
+        from: Instant,
+        to: Instant,
+    ) -> bool {
         self.disturbances.lock().iter().all(|d| {
-            let concerns = match d.target {
-                Target::Control(_) => true,
-                Target::Entry(at) => entry.is_none_or(|wanted| wanted == at),
-            };
-            !concerns || d.from > to || d.until.is_some_and(|until| until + CONTACT < from)
+            !concerns(d.target)
+                || d.from > to
+                || d.until.is_some_and(|until| until + CONTACT < from)
         })
     }
 
