Hold changes to the stated bound while a disk is full, and document the mends

The test of full disks asked for an acknowledgement within the 3 s for which a disk was full. The stated target is 4 s (AckMs). The test now keeps each disk full for at least 5 s and asks that every change sent meanwhile, not one of them, is acknowledged within 4 s.

--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -208,8 +208,7 @@
         &self.hub
     }
 
-    /// Applies an announcement of an endpoint. Returns whether it may be acknowledged, see
-    /// [`AnnouncementError`].
+    /// Applies an announcement of an endpoint, and waits until it may be acknowledged.
     ///
     /// # Errors
     /// The announcement may be lost with this replica, or does not reach the entries.
@@ -220,7 +219,7 @@
         }
     }
 
-    /// Records that an endpoint has gone, as it says itself.
+    /// Records that an endpoint has gone, as it says itself, and waits until that may be acknowledged.
     ///
     /// # Errors
     /// The departure may be lost with this replica, or does not reach the entries.
--- a/tests/platform/disks.rs
+++ b/tests/platform/disks.rs
@@ -4,10 +4,10 @@
 
 use crate::deployment::Deployment;
 
-/// Time for which each disk is full.
-const FULL_TIME: Duration = Duration::from_secs(3);
+/// Time for which each disk is full, at least.
+const FULL_TIME: Duration = Duration::from_secs(5);
 
-/// Time within which a change has to be acknowledged when all disks have room: the bound of the
+/// Time within which a change has to be acknowledged, also while one disk is full: the bound of the
 /// deployments.
 const ACK_TIME: Duration = Duration::from_secs(4);
 
@@ -43,16 +43,14 @@
             nodes.set_fault(at, step).await;
         }
         let full = Instant::now();
-        let mut acknowledged = 0;
         while full.elapsed() < FULL_TIME {
-            let limit = FULL_TIME.saturating_sub(full.elapsed());
-            acknowledged += usize::from(change(&mut nodes, at, notes, limit).await);
+            let acknowledged = change(&mut nodes, at, notes, ACK_TIME).await;
+            assert!(acknowledged, "no acknowledgement while only the disk of replica {at} is full");
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
         for step in ["store.write=off", "store.sync=off", "store.replace=off"] {
             nodes.set_fault(at, step).await;
         }
-        assert!(acknowledged > 0, "no change while only the disk of replica {at} is full");
     }
     tokio::time::sleep(PAUSE).await;
     for first in 0..2 * REPLICAS {
