--- a/src/control/announcement_relay.rs
+++ b/src/control/announcement_relay.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
-use super::confirmations::Confirm;
+use super::acknowledgements::AckSender;
 use super::core_config::Published;
 use super::departure_relay::{Departure, deliver_departures};
 use super::packing::pack_announcements;
@@ -44,14 +44,14 @@
 pub struct RelayedAnnouncement {
     /// What an endpoint said to this replica.
     pub announcement: Announcement,
-    /// Takes the confirmations of replicas that know it, if it has to be confirmed.
-    pub confirm: Option<Confirm>,
+    /// Takes the acknowledgements of other replicas, if it needs them.
+    pub ack: Option<AckSender>,
 }
 
 impl From<Announcement> for RelayedAnnouncement {
     /// An announcement that nobody waits for.
     fn from(announcement: Announcement) -> Self {
-        Self { announcement, confirm: None }
+        Self { announcement, ack: None }
     }
 }
 
@@ -84,7 +84,7 @@
 
 /// Forwards announcements to all other replicas, with one link for each.
 ///
-/// Announcements that have to be confirmed are sent until they are. Others that find a full queue or
+/// Announcements that need acknowledgements are sent until they are acknowledged. Others that find a full queue or
 /// no connection are dropped; endpoints repeat them.
 pub async fn relay_announcements(
     mut rx: mpsc::UnboundedReceiver<RelayedAnnouncement>,
@@ -95,7 +95,7 @@
 ) {
     let mut queues: HashMap<SocketAddr, ReplicaQueues> = HashMap::new();
     let mut previous: HashMap<String, Announcement> = HashMap::new();
-    while let Some(RelayedAnnouncement { announcement, confirm }) = rx.recv().await {
+    while let Some(RelayedAnnouncement { announcement, ack }) = rx.recv().await {
         let received_at = boot_now();
         let is_repeat = is_repeat(&mut previous, &announcement);
         let delay = if is_repeat { REPEAT_RELAY_DELAY } else { RELAY_DELAY };
@@ -106,8 +106,8 @@
                 .entry(addr)
                 .or_insert_with(|| ReplicaQueues::start(addr, cfg.clone(), cx.clone()));
             let announcement = announcement.clone();
-            if let Some(confirm) = confirm.clone() {
-                let _ = queues.departures.send(Departure { announcement, received_at, confirm });
+            if let Some(ack) = ack.clone() {
+                let _ = queues.departures.send(Departure { announcement, received_at, ack });
             } else {
                 let queued = QueuedAnnouncement { received_at, delay, announcement };
                 let _ = queues.repeated.try_send(queued);
--- a/src/control/departure_relay.rs
+++ b/src/control/departure_relay.rs
@@ -1,5 +1,5 @@
 //! Delivers the announcements of endpoints that leave to one other replica, and repeats them until
-//! that replica confirms.
+//! that replica acknowledges them.
 //!
 //! An endpoint repeats that it is ready, but not that it is gone.
 
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use super::confirmations::Confirm;
+use super::acknowledgements::AckSender;
 use super::packing::pack_announcements;
 use super::replica_link::ReplicaLink;
 use crate::clock::boot_now;
@@ -19,10 +19,10 @@
 use crate::wire::envelope::Body;
 use crate::wire::link::Link;
 
-/// Time that a replica has to confirm; well under the second after which endpoints call another one.
+/// Time that a replica has to acknowledge departures; well under the second after which endpoints call another one.
 const DELIVERY_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Delay before a departure is sent again that was not confirmed.
+/// Delay before a departure is sent again that was not acknowledged.
 const RESEND_DELAY: Duration = Duration::from_millis(100);
 
 /// Time for which a departure is repeated. A replica that was cut off for longer has heard nothing
@@ -36,7 +36,7 @@
 pub(super) struct Departure {
     pub(super) announcement: Announcement,
     pub(super) received_at: Moment,
-    pub(super) confirm: Confirm,
+    pub(super) ack: AckSender,
 }
 
 impl Departure {
@@ -67,7 +67,7 @@
         if deliver(&link, &pending).await {
             for departure in pending.drain(..) {
                 // The endpoint's call may have ended already.
-                let _ = departure.confirm.send(());
+                let _ = departure.ack.send(());
             }
         } else {
             sleep(RESEND_DELAY).await;
@@ -75,14 +75,14 @@
     }
 }
 
-/// Sends departures and waits until the replica has confirmed all of them.
+/// Sends departures and waits until the replica has acknowledged all of them.
 async fn deliver(link: &ReplicaLink, departures: &[Departure]) -> bool {
     let Some(link) = link.connected().await else { return false };
     let announcements: Vec<Announcement> =
         departures.iter().map(|departure| departure.announcement.clone()).collect();
     let messages = build_messages(&link, announcements);
-    if !link.peer().confirms_announcements {
-        // Earlier builds confirm nothing; to them, what was sent counts as delivered.
+    if !link.peer().acknowledges_announcements {
+        // Earlier builds acknowledge nothing; to them, what was sent counts as delivered.
         return messages.into_iter().all(|message| link.try_send(message));
     }
     let replies = messages.into_iter().map(|message| link.request(message, DELIVERY_TIMEOUT));
--- a/src/control/hub_announcements.rs
+++ b/src/control/hub_announcements.rs
@@ -4,8 +4,8 @@
 
 use tokio::task::spawn_blocking;
 
+use super::acknowledgements::Acknowledgements;
 use super::announcement_relay::RelayedAnnouncement;
-use super::confirmations::Confirmations;
 use super::hub::Hub;
 use crate::clock::boot_now;
 use crate::directory::Recorded;
@@ -39,29 +39,27 @@
 impl Hub {
     /// Applies an announcement that an endpoint sent to this replica and relays it.
     ///
-    /// Returns the confirmations of other replicas that the endpoint leaves; `None` if it does not.
-    pub fn announce(&self, mut announcement: Announcement) -> Option<Confirmations> {
+    /// Returns the acknowledgements of other replicas that the endpoint leaves; `None` if it does not.
+    pub fn announce(&self, mut announcement: Announcement) -> Option<Acknowledgements> {
         announcement.revivals = self.inner.lock().directory.revivals(&announcement.id);
         let leaves = announcement.standing() == Standing::Draining;
-        let (confirm, confirmations) = leaves.then(Confirmations::channel).unzip();
-        let _ =
-            self.relay.send(RelayedAnnouncement { announcement: announcement.clone(), confirm });
+        let (ack, acknowledgements) = leaves.then(Acknowledgements::channel).unzip();
+        let _ = self.relay.send(RelayedAnnouncement { announcement: announcement.clone(), ack });
         self.apply(announcement, Origin::Endpoint);
-        confirmations
+        acknowledgements
     }
 
     /// Marks an endpoint as gone on its own request, logs and publishes that, and relays it. Returns
-    /// the confirmations of other replicas.
+    /// the acknowledgements of other replicas.
     ///
     /// An endpoint that this replica does not know may be known to others.
-    pub fn depart(&self, id: &str) -> Confirmations {
+    pub fn depart(&self, id: &str) -> Acknowledgements {
         let announcement = self.inner.lock().directory.departure_of(id);
-        let (confirm, confirmations) = Confirmations::channel();
-        let confirm = Some(confirm);
-        let _ =
-            self.relay.send(RelayedAnnouncement { announcement: announcement.clone(), confirm });
+        let (ack, acknowledgements) = Acknowledgements::channel();
+        let ack = Some(ack);
+        let _ = self.relay.send(RelayedAnnouncement { announcement: announcement.clone(), ack });
         self.apply(announcement, Origin::Endpoint);
-        confirmations
+        acknowledgements
     }
 
     /// Applies an announcement that another replica relayed and publishes what changed.
--- a/src/control/hub_handler.rs
+++ b/src/control/hub_handler.rs
@@ -9,8 +9,8 @@
 use crate::wire::envelope::Body;
 use crate::wire::server::{Conn, Handler};
 
-/// Confirms announcements that were sent as a call; others have the number 0.
-fn confirm(conn: &Conn, call: u64) {
+/// Acknowledges announcements that were sent as a call; others have the number 0.
+fn acknowledge(conn: &Conn, call: u64) {
     if call == 0 {
         return;
     }
@@ -37,13 +37,13 @@
             Body::QuarantineReport(report) => self.hub.apply_quarantine_report(report),
             Body::Announcement(announcement) => {
                 self.hub.apply_announcement(announcement);
-                confirm(conn, call);
+                acknowledge(conn, call);
             }
             Body::PackedAnnouncements(packed) => {
-                // Damaged announcements are not confirmed, so that they are sent again.
+                // Damaged announcements are not acknowledged, so that they are sent again.
                 let Ok(announcements) = unpack_announcements(&packed) else { return };
                 announcements.into_iter().for_each(|a| self.hub.apply_announcement(a));
-                confirm(conn, call);
+                acknowledge(conn, call);
             }
             Body::RollCall(report) => self.bootstrap.handle_report(conn, call, report),
             other => self.fallback.on_message(conn, call, other),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,12 +1,12 @@
 //! The control role: a replicated log and the state that it holds, which is the configuration, the
 //! membership of replicas, orders to endpoints and claims of non-idempotent calls.
 
+pub mod acknowledgements;
 pub mod announcement_relay;
 pub mod bootstrap;
 pub mod burn_counts;
 pub mod claims;
 pub mod config_records;
-pub mod confirmations;
 pub mod core;
 pub mod core_config;
 mod departure_relay;
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -15,9 +15,9 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use super::acknowledgements::Acknowledgements;
 use super::announcement_relay::relay_announcements;
 use super::bootstrap::{self, BootstrapService, REPORT_INTERVAL};
-use super::confirmations::Confirmations;
 use super::core::{Answer, Core, Input};
 use super::core_config::{CoreConfig, OnWriteError, Published};
 use super::endpoint_file;
@@ -45,9 +45,9 @@
 /// Upper bound of the election timeout of a replica that has not met a leader since its start.
 const MAX_STARTUP_ELECTION_TIMEOUT: Duration = Duration::from_millis(130);
 
-/// Time within which other replicas have to confirm that an endpoint leaves; endpoints call another
+/// Time within which other replicas have to acknowledge that an endpoint leaves; endpoints call another
 /// replica after a second.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
+const ACK_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// How long a caller waits for the answer of the core.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -100,9 +100,11 @@
     /// This replica knows no leader, so that entries may not follow it.
     #[snafu(display("no leader is known here; call another replica"))]
     NoLeader,
-    /// Too few other replicas have confirmed in time that the endpoint leaves.
-    #[snafu(display("{wanted} other replicas did not confirm in time; call another replica"))]
-    NotConfirmed {
+    /// Too few other replicas have acknowledged in time that the endpoint leaves.
+    #[snafu(display(
+        "{wanted} other replicas did not acknowledge it in time; call another replica"
+    ))]
+    NotAcknowledged {
         /// Number of other replicas that have to know it.
         wanted: usize,
     },
@@ -214,7 +216,7 @@
     /// The announcement may be lost with this replica, or does not reach the entries.
     pub async fn announce(&self, announcement: Announcement) -> Result<(), AnnouncementError> {
         match self.hub.announce(announcement) {
-            Some(confirmations) => self.await_confirmations(confirmations).await,
+            Some(acknowledgements) => self.await_acknowledgements(acknowledgements).await,
             None => self.check_leader(),
         }
     }
@@ -224,23 +226,23 @@
     /// # Errors
     /// The departure may be lost with this replica, or does not reach the entries.
     pub async fn depart(&self, id: &str) -> Result<(), AnnouncementError> {
-        self.await_confirmations(self.hub.depart(id)).await
+        self.await_acknowledgements(self.hub.depart(id)).await
     }
 
     /// Waits until so many other replicas know an announcement that the loss of `tolerance` of them
     /// does not lose it.
-    async fn await_confirmations(
+    async fn await_acknowledgements(
         &self,
-        confirmations: Confirmations,
+        acknowledgements: Acknowledgements,
     ) -> Result<(), AnnouncementError> {
         self.check_leader()?;
         let is_other = |replica: &&Replica| replica.address != self.address;
         let others = self.published.borrow().replicas.iter().filter(is_other).count();
         let wanted = self.tolerance.min(others);
-        if confirmations.wait(wanted, CONFIRM_TIMEOUT).await {
+        if acknowledgements.wait(wanted, ACK_TIMEOUT).await {
             Ok(())
         } else {
-            Err(AnnouncementError::NotConfirmed { wanted })
+            Err(AnnouncementError::NotAcknowledged { wanted })
         }
     }
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -101,7 +101,7 @@
     pub reads_packed: bool,
     /// Whether the sender acknowledges announcements that are sent as a call.
     #[prost(bool, tag = "5")]
-    pub confirms_announcements: bool,
+    pub acknowledges_announcements: bool,
 }
 /// Error reply: a frame could not be decoded or a call could not be served.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -94,7 +94,7 @@
     /// Whether the peer reads packed announcements.
     pub reads_packed: bool,
     /// Whether the peer acknowledges announcements that are sent as a call.
-    pub confirms_announcements: bool,
+    pub acknowledges_announcements: bool,
 }
 
 /// A connection that multiplexes calls. Clones share the connection.
@@ -138,7 +138,7 @@
         let peer = check_hello(reply).map_err(fail)?;
         let peer = PeerAbilities {
             reads_packed: peer.reads_packed,
-            confirms_announcements: peer.confirms_announcements,
+            acknowledges_announcements: peer.acknowledges_announcements,
         };
         Ok(Self::start(framed, cfg, peer, cx.child_token()))
     }
@@ -261,7 +261,7 @@
         node: cfg.node.clone(),
         role: cfg.role.clone(),
         reads_packed: true,
-        confirms_announcements: true,
+        acknowledges_announcements: true,
     }
 }
 
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bitternlead::control::acknowledgements::Acknowledgements;
 use bitternlead::control::announcement_relay::{RelayedAnnouncement, relay_announcements};
-use bitternlead::control::confirmations::Confirmations;
 use bitternlead::control::core_config::Published;
 use bitternlead::control::service::build_link_config;
 use bitternlead::wire::envelope::Body;
@@ -39,22 +39,22 @@
         Self { relay, _published: published }
     }
 
-    fn depart(&self, id: &str, born: u64) -> Confirmations {
+    fn depart(&self, id: &str, born: u64) -> Acknowledgements {
         let mut announcement = Announcement { id: id.into(), born, ..Announcement::default() };
         announcement.set_standing(Standing::Gone);
-        let (confirm, confirmations) = Confirmations::channel();
-        let confirm = Some(confirm);
-        assert!(self.relay.send(RelayedAnnouncement { announcement, confirm }).is_ok());
-        confirmations
+        let (ack, acknowledgements) = Acknowledgements::channel();
+        let ack = Some(ack);
+        assert!(self.relay.send(RelayedAnnouncement { announcement, ack }).is_ok());
+        acknowledgements
     }
 }
 
-/// Accepts one connection and greets like a build that confirms announcements, or an earlier one.
-async fn accept(listener: &TcpListener, confirms_announcements: bool) -> Frames {
+/// Accepts one connection and greets like a build that acknowledges announcements, or an earlier one.
+async fn accept(listener: &TcpListener, acknowledges_announcements: bool) -> Frames {
     let (stream, _) = timeout(MAX_WAIT, listener.accept()).await.unwrap().unwrap();
     let mut frames = Framed::new(stream, EnvelopeCodec::new(1 << 20));
     frames.next().await.unwrap().unwrap();
-    let hello = Hello { version: PROTOCOL_VERSION, confirms_announcements, ..Hello::default() };
+    let hello = Hello { version: PROTOCOL_VERSION, acknowledges_announcements, ..Hello::default() };
     frames.send(Envelope { call: 0, body: Some(Body::Hello(hello)) }).await.unwrap();
     frames
 }
@@ -73,10 +73,10 @@
 /// Guards against a departure that is lost with the connection that it was sent on: its endpoint does
 /// not repeat it.
 #[tokio::test]
-async fn a_departure_is_sent_until_the_replica_confirms_it() {
+async fn a_departure_is_sent_until_the_replica_acknowledges_it() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let sender = Sender::start(listener.local_addr().unwrap());
-    let confirmations = sender.depart("e-1", 7);
+    let acknowledgements = sender.depart("e-1", 7);
     let mut lost = accept(&listener, true).await;
     next_departure(&mut lost).await;
     drop(lost);
@@ -86,9 +86,9 @@
     let (call, departure) = next_departure(&mut frames).await;
     assert_eq!((departure.id.as_str(), departure.born), ("e-1", 7));
     frames.send(Envelope { call, body: Some(Body::Ack(Ack {})) }).await.unwrap();
-    assert!(confirmations.wait(1, MAX_WAIT).await);
+    assert!(acknowledgements.wait(1, MAX_WAIT).await);
     let again = timeout(Duration::from_secs(1), next_departure(&mut frames)).await;
-    assert!(again.is_err(), "sent again after it was confirmed: {again:?}");
+    assert!(again.is_err(), "sent again after it was acknowledged: {again:?}");
 }
 
 /// Guards against a late repetition that ends the next start of its endpoint.
@@ -96,10 +96,10 @@
 async fn a_departure_that_names_no_start_is_not_repeated_for_long() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let sender = Sender::start(listener.local_addr().unwrap());
-    let confirmations = sender.depart("e-1", 0);
+    let acknowledgements = sender.depart("e-1", 0);
     let mut frames = accept(&listener, true).await;
     next_departure(&mut frames).await;
-    assert!(!confirmations.wait(1, Duration::from_secs(1)).await);
+    assert!(!acknowledgements.wait(1, Duration::from_secs(1)).await);
     drop(frames);
     let connected = timeout(Duration::from_secs(1), listener.accept()).await;
     assert!(connected.is_err(), "connected to send it once more");
@@ -107,11 +107,11 @@
 
 /// Guards against an upgrade in which no departure is acknowledged while earlier builds run.
 #[tokio::test]
-async fn earlier_builds_confirm_by_receiving() {
+async fn earlier_builds_acknowledge_by_receiving() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let sender = Sender::start(listener.local_addr().unwrap());
-    let confirmations = sender.depart("e-1", 7);
+    let acknowledgements = sender.depart("e-1", 7);
     let mut frames = accept(&listener, false).await;
     assert_eq!(next_departure(&mut frames).await.0, 0);
-    assert!(confirmations.wait(1, MAX_WAIT).await);
+    assert!(acknowledgements.wait(1, MAX_WAIT).await);
 }
