--- a/review/stand-in-2/src/main.rs
+++ b/review/stand-in-2/src/main.rs
@@ -11,6 +11,7 @@
 
 mod case_planned_replacement;
 mod case_spare_replica;
+mod case_two_replacements;
 
 use std::process::exit;
 
@@ -35,6 +36,7 @@
     let result = match case.as_str() {
         "planned-replacement" => case_planned_replacement::run(trouble),
         "spare-replica" => case_spare_replica::run(trouble),
+        "two-replacements" => case_two_replacements::run(trouble),
         _ => Err(format!("no such case: {case}")),
     };
     let code = match result {
