--- a/review/stand-in-2/src/deployment.rs
+++ b/review/stand-in-2/src/deployment.rs
@@ -112,6 +112,11 @@
         SocketAddr::new(IpAddr::V4(self.machines[at].ip), CONTROL_PORT)
     }
 
+    /// Address for clients of a machine.
+    pub fn frontend(&self, at: usize) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.machines[at].ip), FRONTEND_PORT)
+    }
+
     fn write_settings(&self, at: usize, role: &str, bootstrap: bool) -> Result<PathBuf, String> {
         let machine = &self.machines[at];
         let b = &self.bounds;
--- a/review/stand-in-2/src/main.rs
+++ b/review/stand-in-2/src/main.rs
@@ -8,7 +8,9 @@
 mod http;
 mod operator;
 mod record;
+mod server;
 
+mod case_clock_and_drain;
 mod case_planned_replacement;
 mod case_spare_replica;
 mod case_two_replacements;
@@ -37,6 +39,7 @@
         "planned-replacement" => case_planned_replacement::run(trouble),
         "spare-replica" => case_spare_replica::run(trouble),
         "two-replacements" => case_two_replacements::run(trouble),
+        "clock-and-drain" => case_clock_and_drain::run(trouble),
         _ => Err(format!("no such case: {case}")),
     };
     let code = match result {
