--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -3,6 +3,7 @@
 mod case_11;
 mod case_12;
 mod case_13;
+mod case_14;
 mod departure;
 mod http;
 mod record;
@@ -31,6 +32,7 @@
         "11" => case_11::run(&folder, &record, trouble),
         "12" => case_12::run(&folder, &record, trouble),
         "13" => case_13::run(&folder, &record, trouble),
+        "14" => case_14::run(&folder, &record, trouble),
         _ => ExitCode::from(2),
     }
 }
--- a/review/stand-in-3/system.rs
+++ b/review/stand-in-3/system.rs
@@ -18,11 +18,13 @@
 /// Availability zones.
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
-/// Bounds of the sheet that the judgement uses.
+/// Bounds of the sheet that the scripts use.
 pub const DRAIN: Duration = Duration::from_millis(2500);
 pub const CONTACT: Duration = Duration::from_millis(4000);
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
 pub const GRACE: Duration = Duration::from_secs(8);
+pub const CATCH_UP: Duration = Duration::from_secs(6);
+pub const RECOVER: Duration = Duration::from_secs(15);
 
 /// A process of the system; killed when dropped.
 pub struct Process {
@@ -111,6 +113,33 @@
         system
     }
 
+    /// Starts control on a further host, at a new address and with an empty disk; returns its number.
+    pub fn add_control(&mut self) -> usize {
+        let host = self.controls.len();
+        let settings = self.write_settings("control", host, false);
+        let log = self.folder.join(format!("control-{host}.log"));
+        let child = Process::spawn("control", &settings, &log);
+        self.controls.push(Process { child, role: "control", settings, log });
+        host
+    }
+
+    /// Removes a host for good, without a signal to its processes first.
+    pub fn remove(&mut self, host: usize) {
+        self.controls[host].kill();
+        self.entries[host].kill();
+    }
+
+    /// Lets a host lose its disk and restart after some time.
+    pub fn lose_disk(&mut self, host: usize, down: Duration) {
+        self.remove(host);
+        fs::remove_dir_all(self.folder.join(format!("data-{host}"))).unwrap();
+        std::thread::sleep(down);
+        self.write_settings("control", host, false);
+        self.write_settings("entry", host, false);
+        self.controls[host].start_again();
+        self.entries[host].start_again();
+    }
+
     fn ip(&self, host: usize) -> String {
         format!("{}.{}", self.network, host + 1)
     }
@@ -163,7 +192,7 @@
 {data_dir}"Discovery":"registration","Entry":"vip","HeartbeatMs":{heartbeat},
 "Contracts":["base","drain","config","cost","retry","recover","health","pool","engine","stream","tenants","places","pressure","spans"],
 "FaultTolerance":{{"Machines":1,"Zones":0,"Regions":0}},
-"Bounds":{{"SeedLagS":3,"ReuseAfterS":2,"ContactMs":{contact},"AckMs":5000,"CatchUpS":6,"DrainMs":{drain},"GraceS":{grace},"LossSlackMs":200,"ConfigApplyMs":2500,"DowngradeSlackMs":250,"SkewMaxMs":6000,"RetryRatio":0.2,"RetryWindowS":10,"RetrySlack":132,"ColdOverage":1.5,"ColdSlack":5,"EvacuateMs":5000,"RecoverS":15,"DeliveryMs":200,"RetryAfterS":0,"stall_ms":1500,"HoldMaxMs":20000,"FreeMs":4000,"IdleMaxMs":9000}},
+"Bounds":{{"SeedLagS":3,"ReuseAfterS":2,"ContactMs":{contact},"AckMs":5000,"CatchUpS":{catch_up},"DrainMs":{drain},"GraceS":{grace},"LossSlackMs":200,"ConfigApplyMs":2500,"DowngradeSlackMs":250,"SkewMaxMs":6000,"RetryRatio":0.2,"RetryWindowS":10,"RetrySlack":132,"ColdOverage":1.5,"ColdSlack":5,"EvacuateMs":5000,"RecoverS":{recover},"DeliveryMs":200,"RetryAfterS":0,"stall_ms":1500,"HoldMaxMs":20000,"FreeMs":4000,"IdleMaxMs":9000}},
 "ConfigMode":"highest"}}"#,
             zone = ZONES[host % ZONES.len()],
             last = FIRST_PORT + 15,
@@ -172,6 +201,8 @@
             contact = CONTACT.as_millis(),
             drain = DRAIN.as_millis(),
             grace = GRACE.as_secs(),
+            catch_up = CATCH_UP.as_secs(),
+            recover = RECOVER.as_secs(),
         );
         let path = self.folder.join(format!("{role}-{host}.json"));
         fs::write(&path, text).unwrap();
