--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -4,9 +4,11 @@
 mod case_12;
 mod case_13;
 mod case_14;
+mod case_15;
 mod departure;
 mod http;
 mod record;
+mod removals;
 mod server;
 mod system;
 mod traffic;
@@ -33,6 +35,7 @@
         "12" => case_12::run(&folder, &record, trouble),
         "13" => case_13::run(&folder, &record, trouble),
         "14" => case_14::run(&folder, &record, trouble),
+        "15" => case_15::run(&folder, &record, trouble),
         _ => ExitCode::from(2),
     }
 }
